Let the holder of the duty alone write a group's first record

Cause: every instance wrote the first record of every group, and read it again each 200 ms for as long as there was none, as databases in term 1 are ahead of a record that doesn't exist. Test: first_record (failed before: records written and read by an instance without the duty). promotion/a_record_is_not_created_while_databases_register now holds the duty; its checks are the same.

--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -97,7 +97,8 @@
   }
   RecordPromotion(*view);
   if (state.term > Term()) {
-    record_read_requested_ = true;
+    // The watch delivers a group's first record; only a newer one can be late.
+    record_read_requested_ = record_read_requested_ || record_.revision != 0;
     return;
   }
   const bool is_primary = endpoint == Primary();
--- /dev/null
+++ b/unittests/core/first_record_test.cc
@@ -0,0 +1,51 @@
+// Tests who writes the first record of a group, and what that costs the store.
+
+#include "promoted_world.h"
+#include "story.h"
+
+namespace marjoramslip {
+namespace {
+
+using std::chrono::seconds;
+
+/// A second group, "new", whose databases are up and which has no record yet.
+struct new_group_world : promoted_world {
+  new_group_world() {
+    for (const char* name : {"x", "y", "z"}) {
+      State(name) = {1, 1, 10, endpoint_role::kReplica};
+    }
+    State("x").role = endpoint_role::kPrimary;
+    catalogue notes = MakeCatalogue(2);
+    service_spec service = notes.services.at("ledger");
+    service.name = "new";
+    service.groups[0].name = "new";
+    for (std::size_t i = 0; i < 3; ++i) {
+      service.groups[0].endpoints[i].name = std::string(1, "xyz"[i]);
+    }
+    notes.services.emplace("new", service);
+    ApplyEvent(catalogue_seen{notes});
+    ApplyEvent(record_seen{IdOf<group_id>("new"), versioned_record{}});
+    record_reads = 0;
+  }
+};
+
+}  // namespace
+
+Test(first_record, is_written_by_the_holder_of_the_duty_alone) {
+  new_group_world world;
+  SECTION("an instance without the duty makes no call while there is none") {
+    world.AdvanceTime(seconds(5));
+    EXPECT(world.written_records.empty());
+    EXPECT(world.record_reads == 0);
+  }
+  SECTION("the holder of the duty writes it") {
+    world.HoldDuty(seconds(30));
+    world.AdvanceTime(seconds(5));
+    REQUIRE(world.written_records.size() == 1);
+    EXPECT(world.written_records[0].primary == harness::Id("x"));
+    EXPECT(world.written_records[0].witnesses.size() == 3);
+  }
+  EXPECT(world.violations == 0);
+}
+
+}  // namespace marjoramslip
--- a/unittests/core/promotion_test.cc
+++ b/unittests/core/promotion_test.cc
@@ -144,6 +144,7 @@
   world.State("other-b") = {1, 1, 10, endpoint_role::kReplica};
   declared.services.insert_or_assign("other", other);
   world.ApplyEvent(catalogue_seen{declared});
+  world.HoldDuty(seconds(60));
   world.ApplyEvent(record_seen{IdOf<group_id>("h"), versioned_record{}});
   world.AdvanceTime(seconds(1));
   EXPECT(world.written_records.empty());
