Spread the claims of seats and of the duty

Cause: all instances of a start claimed the lowest free seat and then the duty; each conflict read the directory again, and an instance with a seat above the limit read it at each renewal. Now a conflict is followed by a draw, instances claim a vacant duty in order of their ids, 150 ms apart, and a seat above the limit is exchanged only while all instances fit below it. The announcement is no longer checked after the first read, which is older than it.

--- a/lib/coordination/platform_link_context.h
+++ b/lib/coordination/platform_link_context.h
@@ -4,6 +4,8 @@
 #ifndef MARJORAMSLIP_LIB_COORDINATION_PLATFORM_LINK_CONTEXT_H_
 #define MARJORAMSLIP_LIB_COORDINATION_PLATFORM_LINK_CONTEXT_H_
 
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -53,6 +55,9 @@
   /// Smallest number of seats of any service. A seat with this number or a
   /// higher one has no share of the connections of at least one service.
   std::uint32_t SeatLimit();
+  /// Number of instances on the list that was last read; 0 before the first.
+  std::size_t MemberCount() const { return member_count_; }
+  void SetMemberCount(std::size_t count) { member_count_ = count; }
 
  private:
   void SetReachable(bool reachable, const std::string& reason);
@@ -64,6 +69,7 @@
   std::optional<bool> reachable_;
   std::function<void()> store_available_callback_;
   std::map<group_id, std::string> group_names_;
+  std::atomic<std::size_t> member_count_ = 0;
   std::uint32_t seat_limit_ = std::numeric_limits<std::uint32_t>::max();
 };
 
--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -15,6 +15,11 @@
 
 constexpr duration kMinRetryPause = std::chrono::milliseconds(100);
 constexpr duration kMaxRetryPause = std::chrono::seconds(2);
+/// Time between the claims of a vacant duty by one instance and by the next in
+/// the order, and the longest such delay. The first claimants may be those that
+/// just died.
+constexpr duration kClaimInterval = std::chrono::milliseconds(150);
+constexpr duration kMaxClaimDelay = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -72,10 +77,14 @@
   for (const kv::entry& entry : groups) {
     OnGroup(*kv::key_space::StripDirectory(keys.Groups(), entry.key), entry);
   }
-  if (source_.PlatformPromotes()) {
-    membership_.OnDutyChange(duty_vacant);
+  const bool listed = members_.contains(self_.name);
+  if (source_.PlatformPromotes() && (listed || !duty_vacant)) {
+    membership_.OnDutyChange(duty_vacant, DutyClaimDelay());
   }
-  if (!members_.contains(self_.name)) {
+  // The first read is usually older than the announcement. Once that is
+  // written, the watch delivers it.
+  const bool first_read = generation_ == 1;
+  if (!listed && !first_read) {
     membership_.OnAnnouncementMissing();
   }
   members_requested_at_ = requested_at;
@@ -146,7 +155,7 @@
     return;
   }
   if (key == keys.Duty()) {
-    membership_.OnDutyChange(change.erased);
+    membership_.OnDutyChange(change.erased, DutyClaimDelay());
     return;
   }
   const auto group = kv::key_space::StripDirectory(keys.Groups(), key);
@@ -159,6 +168,17 @@
   HandleSourceChange(effect);
 }
 
+/// Orders the claimants of a vacant duty by their ids. Without an order, each
+/// of them writes to the store at the same moment.
+duration platform_follower::DutyClaimDelay() const {
+  const auto ahead = std::count_if(
+      members_.begin(), members_.end(), [this](const auto& listed) {
+        const member& other = listed.second.value;
+        return !other.leaving && other.id < self_.id;
+      });
+  return std::min<duration>(kClaimInterval * ahead, kMaxClaimDelay);
+}
+
 void platform_follower::PostFaults() {
   for (fault_reported& fault : source_.TakeFaults()) {
     context_.Post(std::move(fault));
@@ -263,6 +283,7 @@
 }
 
 void platform_follower::PostMembers() {
+  context_.SetMemberCount(members_.size());
   members_seen seen;
   seen.requested_at = members_requested_at_;
   bool listed = false;
--- a/lib/coordination/platform_link_follower.h
+++ b/lib/coordination/platform_link_follower.h
@@ -64,6 +64,8 @@
   void PostMembers();
   /// Posts the entries that the source could not use.
   void PostFaults();
+  /// Returns how long this instance leaves a vacant duty to others.
+  duration DutyClaimDelay() const;
   void ReportMalformedMember(const kv::entry& entry, const error& failure);
 
   platform_context& context_;
--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -2,6 +2,7 @@
 
 #include "platform_link_members.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 #include <vector>
@@ -20,6 +21,9 @@
 constexpr duration kRetryPause = std::chrono::milliseconds(200);
 /// Number of renewals within the duration of a lease.
 constexpr int kRenewalsPerLease = 3;
+/// Number of conflicting claims that are attributed to other instances' claims
+/// of the same seat.
+constexpr std::uint32_t kConflictsWithoutEntry = 2;
 
 /// Encodes a seat number; the field is absent if no seat is held.
 json::codec<std::optional<std::uint32_t>> SeatCodec() {
@@ -88,18 +92,35 @@
     const duration renewal_interval = duration(lease_ttl_) / kRenewalsPerLease;
     const bool idle = done && announced_ && former_leases_.empty();
     if (!done || idle) {
-      worker_.Pause(idle ? renewal_interval : kRetryPause);
+      worker_.Pause(
+          idle ? std::min(renewal_interval,
+                          TimeUntilDutyClaim().value_or(renewal_interval))
+               : kRetryPause);
     }
   }
 }
 
-void platform_membership::OnDutyChange(bool vacant) {
-  duty_vacant_ = vacant;
-  if (vacant) {
+void platform_membership::OnDutyChange(bool vacant, duration delay) {
+  if (!vacant) {
+    claim_duty_at_ = 0;
+    return;
+  }
+  duration::rep unset = 0;
+  const instant due = BootTime() + delay;
+  if (claim_duty_at_.compare_exchange_strong(unset,
+                                             due.time_since_epoch().count())) {
     worker_.InterruptPause();
   }
 }
 
+std::optional<duration> platform_membership::TimeUntilDutyClaim() const {
+  const duration::rep due = claim_duty_at_;
+  if (due == 0 || !announced_ || lease_ == 0 || fence_ != 0) {
+    return std::nullopt;
+  }
+  return std::max(duration::zero(), instant(duration(due)) - BootTime());
+}
+
 void platform_membership::OnDirectoryRead(kv::range_result entries) {
   {
     const std::lock_guard lock(mutex_);
@@ -131,7 +152,9 @@
     }
   }
   if (fence_ != 0 || claimed.Failed(error_kind::kConflict)) {
-    duty_vacant_ = false;
+    claim_duty_at_ = 0;
+  } else {
+    claim_duty_at_ = (BootTime() + kRetryPause).time_since_epoch().count();
   }
   if (fence_ != 0) {
     PostDuty();
@@ -154,7 +177,7 @@
   if (announced_ && !RevokeFormerLeases()) {
     return false;
   }
-  if (announced_ && lease_ != 0 && duty_vacant_ && fence_ == 0) {
+  if (TimeUntilDutyClaim() == duration::zero()) {
     ClaimDuty();
   }
   if (lease_ == 0) {
@@ -173,7 +196,7 @@
   context_.RecordCallResult(granted);
   if (granted) {
     lease_ = *granted;
-    lease_until_ = requested_at + lease_ttl_;
+    OnLeaseExtended(requested_at);
   }
   return static_cast<bool>(granted);
 }
@@ -224,6 +247,9 @@
   }
   return Attempt([&]() -> result<kv::range_result> {
     BOOST_LEAF_AUTO(found, context_.Store().Range(keys.Seats(), false));
+    if (!own_entry_possible_) {
+      return found;
+    }
     BOOST_LEAF_AUTO(entry,
                     context_.Store().Range(keys.Instance(self_.name), true));
     std::move(entry.entries.begin(), entry.entries.end(),
@@ -244,20 +270,22 @@
     entry_revision = entry.key == keys.Instance(self_.name) ? entry.mod_revision
                                                             : entry_revision;
   }
+  own_entry_possible_ = own_entry_possible_ || entry_revision != 0;
   const seat_map seats = ReadSeats(keys.Seats(), *found, {self_.name, lease_});
   if (seats.own) {
     // This includes a claim whose response was lost.
     seat_ = seats.own;
     MarkAnnounced();
   }
-  const bool within_limit = !seat_ || *seat_ < context_.SeatLimit();
+  const bool within_limit = HoldsUsableSeat();
   if (!ever_announced_ && !seats.former_seats.empty()) {
     former_leases_ = seats.former_leases;
     const auto& [seat, revision] = *seats.former_seats.begin();
     return ClaimSeat(seat, revision, std::nullopt, entry_revision);
   }
   const std::uint32_t seat =
-      ChooseSeat(seats.taken, within_limit ? seat_ : std::nullopt);
+      ChooseSeat(seats.taken, within_limit ? seat_ : std::nullopt,
+                 context_.SeatLimit(), conflicts_ == 0 ? 0 : self_.id.value);
   if (seats.own && (within_limit || seat > *seats.own)) {
     return true;
   }
@@ -289,11 +317,17 @@
     seat_ = seat;
     MarkAnnounced();
   }
+  // A claim writes the entry together with the seat. After one that may take
+  // effect late, or after several conflicts, the entry itself is read.
+  own_entry_possible_ = own_entry_possible_ || written ||
+                        !written.Failed(error_kind::kConflict) ||
+                        conflicts_ > kConflictsWithoutEntry;
   if (written.Failed(error_kind::kInvalid)) {
     lease_ = 0;
   }
   // On a conflict another instance was first; the next claim follows without
-  // a pause.
+  // a pause, and for a seat of its own draw.
+  conflicts_ += written.Failed(error_kind::kConflict) ? 1 : 0;
   return announced_ || written.Failed(error_kind::kConflict);
 }
 
@@ -302,6 +336,12 @@
   ever_announced_ = true;
 }
 
+void platform_membership::OnLeaseExtended(instant requested_at) {
+  lease_until_ = requested_at + lease_ttl_;
+  // Half the interval, so that a pause that ends a little early still renews.
+  next_renewal_ = requested_at + duration(lease_ttl_) / kRenewalsPerLease / 2;
+}
+
 void platform_membership::OnLeaseLost(instant lost_at) {
   lease_ = 0;
   announced_ = false;
@@ -314,6 +354,9 @@
 
 bool platform_membership::RenewLease() {
   const instant requested_at = BootTime();
+  if (requested_at < next_renewal_) {
+    return true;
+  }
   const auto renewed =
       Attempt([&] { return context_.Store().KeepAlive(lease_); });
   context_.RecordCallResult(renewed);
@@ -324,12 +367,18 @@
   if (!renewed) {
     return false;
   }
-  lease_until_ = requested_at + lease_ttl_;
+  OnLeaseExtended(requested_at);
   if (fence_ != 0) {
     PostDuty();
   }
-  const bool within_limit = !seat_ || *seat_ < context_.SeatLimit();
-  return within_limit || Announce();
+  // In a fleet with more members than seats most hold a seat above the limit
+  // and have a share all the same; looking for a lower one would be in vain.
+  const bool all_fit = context_.MemberCount() <= context_.SeatLimit();
+  return HoldsUsableSeat() || !all_fit || Announce();
+}
+
+bool platform_membership::HoldsUsableSeat() {
+  return !seat_ || *seat_ < context_.SeatLimit();
 }
 
 }  // namespace marjoramslip::shell
--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -26,12 +26,14 @@
 /// Announces this instance under a lease and keeps the lease alive.
 ///
 /// One transaction writes the announcement and claims a seat: the previous seat
-/// if it is free, else the lowest free one. Both keys expire with the lease, so
-/// no two instances hold the same seat. The duty to promote is a key under the
-/// same lease; nobody can take it while the store is unavailable.
+/// if it is free, else another one, below the seat limit if possible. Both keys
+/// expire with the lease, so no two instances hold the same seat. The duty to
+/// promote is a key under the same lease; nobody can take it while the store is
+/// unavailable.
 ///
-/// A seat at or above the seat limit has no share of some service's
-/// connections. It is exchanged for a lower one as soon as one is free.
+/// While no more instances are listed than there are seats, a seat at or above
+/// the seat limit has no share of some service's connections. It is exchanged
+/// for a lower one as soon as one is free.
 ///
 /// At most one process runs under a name. A new process therefore takes over
 /// the seat of an earlier one of its name, then revokes that process's leases,
@@ -44,8 +46,10 @@
   /// Revokes the lease and acquires no further one.
   void Leave();
 
-  /// Reports whether the key of the duty to promote is absent.
-  void OnDutyChange(bool vacant);
+  /// Reports whether the key of the duty to promote is absent. This instance
+  /// claims a vacant duty after `delay`, unless another was faster: `delay`
+  /// grows with the instance's place in the order of claimants.
+  void OnDutyChange(bool vacant, duration delay);
 
   /// Passes the entries read at the start, for the first announcement.
   void OnDirectoryRead(kv::range_result entries);
@@ -66,6 +70,8 @@
   bool VerifyAnnouncement();
   /// Records that the announcement is in the store.
   void MarkAnnounced();
+  /// Records that the lease was granted or renewed by a call at `requested_at`.
+  void OnLeaseExtended(instant requested_at);
   /// Discards the state that depended on the lease. The next step acquires
   /// another lease.
   void OnLeaseLost(instant lost_at);
@@ -78,11 +84,15 @@
                  std::optional<std::uint32_t> held,
                  std::uint64_t entry_revision);
   std::string SeatValue() const;
+  /// True unless the seat held is at or above the limit.
+  bool HoldsUsableSeat();
   /// Revokes the leases of earlier processes of this name. Returns false if
   /// one could not be revoked.
   bool RevokeFormerLeases();
   /// Claims the duty to promote if nobody holds it.
   void ClaimDuty();
+  /// Returns the time until the duty is to be claimed; empty if it is not.
+  std::optional<duration> TimeUntilDutyClaim() const;
   /// Posts the time until which the duty is certainly held.
   void PostDuty();
 
@@ -91,7 +101,8 @@
   std::chrono::seconds lease_ttl_;
   std::atomic<std::uint64_t> lease_ = 0;
   std::atomic<bool> leaving_ = false;
-  std::atomic<bool> duty_vacant_ = false;
+  /// When to claim the duty, in ticks of `instant`; 0 while it is held.
+  std::atomic<duration::rep> claim_duty_at_ = 0;
   /// The announcement may be missing from the store and must be checked.
   std::atomic<bool> verify_requested_ = false;
   std::mutex mutex_;
@@ -103,6 +114,12 @@
   /// The last seat held. After the lease has expired, it is claimed again if it
   /// is free.
   std::optional<std::uint32_t> seat_;
+  /// Number of claims of seats that other instances had claimed first.
+  std::uint32_t conflicts_ = 0;
+  /// This instance's entry may be in the store.
+  bool own_entry_possible_ = false;
+  /// When the lease is renewed next. Other events wake the worker earlier.
+  instant next_renewal_{};
   /// The follower's initial read has not been waited for yet.
   bool initial_read_pending_ = true;
   /// Leases of earlier processes of this name that must still be revoked.
--- a/lib/coordination/seats.cc
+++ b/lib/coordination/seats.cc
@@ -2,8 +2,10 @@
 
 #include "seats.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "marjoramslip/kv/key_space.h"
 
@@ -63,15 +65,30 @@
 }
 
 std::uint32_t ChooseSeat(const std::set<std::uint32_t>& taken,
-                         const std::optional<std::uint32_t>& preferred) {
+                         const std::optional<std::uint32_t>& preferred,
+                         std::uint32_t limit, std::uint64_t draw) {
   if (preferred && !taken.contains(*preferred)) {
     return *preferred;
   }
-  std::uint32_t lowest = 0;
-  while (taken.contains(lowest)) {
-    ++lowest;
+  const std::uint32_t first_above = std::min(limit, kMaxSeat);
+  std::vector<std::uint32_t> free;
+  for (std::uint32_t seat = 0; seat < first_above; ++seat) {
+    if (!taken.contains(seat)) {
+      free.push_back(seat);
+    }
+  }
+  if (!free.empty()) {
+    return free[draw % free.size()];
+  }
+  const std::uint32_t count_above = kMaxSeat - first_above + 1;
+  auto offset = static_cast<std::uint32_t>(draw % count_above);
+  for (std::uint32_t tried = 0; tried < count_above; ++tried) {
+    if (!taken.contains(first_above + offset)) {
+      return first_above + offset;
+    }
+    offset = (offset + 1) % count_above;
   }
-  return lowest;
+  return kMaxSeat + 1;
 }
 
 }  // namespace marjoramslip::shell
--- a/lib/coordination/seats.h
+++ b/lib/coordination/seats.h
@@ -43,9 +43,14 @@
 seat_map ReadSeats(std::string_view directory, const kv::range_result& range,
                    const seat_claim& self);
 
-/// Returns the preferred seat if it is free, else the lowest free one.
+/// Returns the preferred seat if it is free, else a free one below `limit`,
+/// else a free one above. `draw` selects among the free ones; 0 selects the
+/// lowest. Claimants that conflicted use a number of their own, such as the
+/// hash of their name, so that they do not conflict again. Returns a number
+/// above `kMaxSeat` if no seat is free.
 std::uint32_t ChooseSeat(const std::set<std::uint32_t>& taken,
-                         const std::optional<std::uint32_t>& preferred);
+                         const std::optional<std::uint32_t>& preferred,
+                         std::uint32_t limit, std::uint64_t draw);
 
 }  // namespace marjoramslip::shell
 
