Divide connections among all instances where they outnumber the seats

Cause: with 6 seats, 6 of 78 instances had 18 of 108 connections each, the other 72 one each beyond that: 180 in all, refused by the databases. Shares now follow the number of live instances, in order of their seats. Test: membership/shares_follow_the_size_of_the_fleet.

--- a/lib/core/membership.cc
+++ b/lib/core/membership.cc
@@ -62,6 +62,20 @@
   return self == members_.end() ? std::nullopt : self->second.seat;
 }
 
+std::uint32_t membership::Share(std::uint32_t seats,
+                                std::uint32_t connections) const {
+  const std::optional<std::uint32_t> seat = Seat();
+  const std::uint32_t live = LiveCount();
+  if (!seat.has_value() || live <= seats) {
+    return ShareOf(seat, seats, connections);
+  }
+  const auto rank = std::count_if(
+      members_.begin(), members_.end(), [this, &seat](const auto& listed) {
+        return !left_.contains(listed.first) && listed.second.seat < seat;
+      });
+  return ShareOf(static_cast<std::uint32_t>(rank), live, connections);
+}
+
 std::uint32_t membership::LiveCount() const {
   return static_cast<std::uint32_t>(
       std::max<std::size_t>(1, members_.size() - left_.size()));
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -43,6 +43,12 @@
   /// every endpoint's connections; empty while it holds none.
   std::optional<std::uint32_t> Seat() const;
 
+  /// Returns this instance's share of an endpoint's `connections` where they
+  /// are divided into `seats` shares. Where more instances are live than there
+  /// are seats, each has a share: they are divided evenly among the live
+  /// instances, in order of their seats.
+  std::uint32_t Share(std::uint32_t seats, std::uint32_t connections) const;
+
   /// Returns the number of listed instances that have not left; at least 1.
   std::uint32_t LiveCount() const;
 
--- a/lib/core/peers.cc
+++ b/lib/core/peers.cc
@@ -111,8 +111,6 @@
 }
 
 void OnMembersSeen(core_state& core, const members_seen& seen) {
-  const std::optional<std::uint32_t> seat = core.members.Seat();
-  const std::uint32_t live = core.members.LiveCount();
   const std::vector<instance_id> before = core.members.Peers();
   core.members.OnMembers(seen.members, core.now);
   core.members_requested_at =
@@ -124,9 +122,7 @@
     }
   }
   UpdateGroupPeers(core);
-  if (core.members.Seat() != seat || core.members.LiveCount() != live) {
-    UpdateShares(core);
-  }
+  UpdateShares(core);
 }
 
 void OnDutySeen(core_state& core, const duty_seen& duty) {
--- a/unittests/core/membership_test.cc
+++ b/unittests/core/membership_test.cc
@@ -39,6 +39,40 @@
   }
 }
 
+/// Returns the sum of the shares of `count` instances, of which the first hold
+/// the seats below six and the others seats of their own draw.
+std::uint32_t SumOfShares(int count, std::uint32_t connections) {
+  std::vector<member> all;
+  for (int i = 0; i < count; ++i) {
+    const auto number = static_cast<std::uint32_t>(i);
+    all.push_back(Member(("i-" + std::to_string(i)).c_str(),
+                         number < 6 ? number : number * 97));
+  }
+  std::uint32_t sum = 0;
+  for (const member& self : all) {
+    membership members(self.id);
+    members.OnMembers(all, instant{});
+    sum += members.Share(6, connections);
+  }
+  return sum;
+}
+
+Test(membership, shares_follow_the_size_of_the_fleet) {
+  SECTION("the fleet never holds more than an endpoint accepts") {
+    EXPECT(SumOfShares(5, 23) <= 23);
+    EXPECT(SumOfShares(31, 46) == 46);
+    EXPECT(SumOfShares(78, 108) == 108);
+  }
+  SECTION("with fewer connections than instances, each may try one") {
+    EXPECT(SumOfShares(300, 108) == 300);
+  }
+  SECTION("an instance that is not listed has none of the fleet's shares") {
+    membership members(IdOf<instance_id>("i"));
+    members.OnMembers(std::vector<member>{Member("j", 0)}, instant{});
+    EXPECT(members.Share(6, 46) == 1);
+  }
+}
+
 Test(membership, peers_and_seat_follow_the_list) {
   membership members(IdOf<instance_id>("i"));
   EXPECT(members.LiveCount() == 1);
