Let one instance gather a group's evidence for a large fleet

Cause: each of 78 instances sends a group about one statement a second, so none held a permit by its own answers. Each request brought two probes, nearly each over a connection of its own: 72,284 probes and 65,142 connections in 30 s. After a loss of power, dead connections and probes filled the databases' limit, and 488,618 connections were reset. Change: in fleets of 12 or more, the instance that rendezvous hashing names for a group probes it and passes what it knows on to those that ask. Evidence counts from when it was sampled: the request's time less the age at the sender. A home instance that stays silent for 60 ms is replaced by own probes for 1 s.

--- a/include/marjoramslip/core/peer_messages.h
+++ b/include/marjoramslip/core/peer_messages.h
@@ -76,13 +76,38 @@
   std::uint64_t loan_id = 0;
 };
 
+/// Requests the receiver's evidence of a group's term.
+struct evidence_request {
+  group_id group;
+  std::uint64_t ticket =
+      0;  ///< Unique for the sender; comes back in the reply.
+};
+
+/// What the sender of an evidence_update knows of one endpoint.
+struct endpoint_evidence {
+  endpoint_id endpoint;
+  endpoint_state state;
+  /// Time from when the state was sampled to when the update was sent.
+  duration age{};
+};
+
+/// Evidence that gave the sender a permit for the record with
+/// `record_revision`.
+struct evidence_update {
+  group_id group;
+  std::uint64_t ticket = 0;
+  std::uint64_t record_revision = 0;
+  std::vector<endpoint_evidence> endpoints;
+};
+
 /// The sender shuts down and holds no more connections to endpoints.
 struct leave_notice {};
 
 using peer_message =
     std::variant<suspicion_report, record_update, revision_update,
                  catalogue_request, catalogue_update, loan_request, loan_grant,
-                 loan_return, leave_notice, record_ack>;
+                 loan_return, leave_notice, record_ack, evidence_request,
+                 evidence_update>;
 
 }  // namespace marjoramslip
 
--- a/lib/core/apply_catalogue.cc
+++ b/lib/core/apply_catalogue.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "connections.h"
+#include "evidence_relay.h"
 #include "groups.h"
 #include "requests.h"
 
@@ -118,6 +119,7 @@
     }
     RerouteFromLeaving(core, *group);
   }
+  ChooseHomes(core);
   UpdateShares(core);
   for (const auto& [id, group] : core.groups) {
     ResumeAwaitingTerm(core, *group);
--- a/lib/core/connections.cc
+++ b/lib/core/connections.cc
@@ -250,10 +250,10 @@
       // Without bound terms, all listed instances acknowledge a change of
       // primary. An instance that is not listed must open no connections.
       const bool may_connect = service.term_bound || seat.has_value();
-      pool.SetShare(may_connect ? core.members.Share(service.seats,
-                                                     view.spec.connections)
-                                : 0,
-                    service.term_bound, core.now);
+      pool.SetShare(
+          may_connect ? core.members.Share(service.seats, view.spec.connections)
+                      : 0,
+          service.term_bound, core.now);
       CloseExcessIdle(core, pool);
       ProcessPool(core, pool);
     }
--- a/lib/core/core_state.h
+++ b/lib/core/core_state.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "endpoint_pool.h"
+#include "evidence_relay.h"
 #include "group_terms.h"
 #include "invariants.h"
 #include "lag_estimate.h"
@@ -127,6 +128,7 @@
   lag_estimate lag;
   std::set<endpoint_id> lagging_replicas;  ///< Replicas logged as far behind.
   retry_budget retries;
+  evidence_relay relay;
   std::uint32_t request_count = 0;      ///< Requests in any stage.
   std::uint32_t open_transactions = 0;  ///< Open transactions.
   std::uint32_t sent_requests = 0;  ///< Requests in flight or awaiting release.
@@ -157,7 +159,8 @@
   instant arrived_at;
 };
 
-/// Factor that separates the loan ids of successive starts of an instance.
+/// Factor that separates the ids of loans and of requests for evidence of
+/// successive starts of an instance.
 inline constexpr std::uint64_t kLoanIdStride = 0x9e3779b97f4a7c15;
 
 /// The whole state of the instance.
@@ -167,7 +170,8 @@
         self(IdOf<instance_id>(settings.instance_name)),
         members(self),
         sessions(settings.session_limit),
-        next_loan(settings.process_seed * kLoanIdStride) {}
+        next_loan(settings.process_seed * kLoanIdStride),
+        next_ticket(settings.process_seed * kLoanIdStride) {}
 
   const core_options options;
   const instance_id self;
@@ -191,6 +195,7 @@
   std::unordered_map<connection_id, connection_state> connections;
   std::uint64_t next_connection = 1;
   std::uint64_t next_loan;
+  std::uint64_t next_ticket;  ///< Of the next request for evidence.
   std::unordered_map<caller_id, caller_state> callers;
   std::unordered_map<request_id, request_state> requests;
   std::vector<early_statement> early_statements;
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -103,6 +103,15 @@
   /// starts a change of primary.
   void OnSuspicion(instance_id from, const suspicion_report& report,
                    instant now);
+  /// Applies what another instance knows of the endpoints, in answer to a
+  /// request sent at `requested_at`. Evidence holds from when it was sampled,
+  /// whoever passes it on. That an endpoint answered another instance says
+  /// nothing of whether it can be reached from here.
+  void OnRelayedEvidence(const evidence_update& update, instant requested_at,
+                         instant now);
+  /// Sets whether another instance provides the endpoints' states. Those not
+  /// known yet are then not probed for.
+  void SetRelayed(bool relayed) { relayed_ = relayed; }
   /// Starts a planned change of primary to `endpoint`, or to any replica if
   /// its id is 0.
   void OnPromoteRequested(endpoint_id endpoint, instant now,
@@ -138,6 +147,11 @@
   /// later term is open.
   bool HoldsPermit(instant now) const;
 
+  /// Returns the evidence of the term, with the primary's position, for other
+  /// instances; empty if a permit will not hold for at least `remaining`.
+  std::optional<evidence_update> Evidence(duration remaining,
+                                          instant now) const;
+
   /// Returns a position of the primary that was sampled at or after `since`
   /// and is confirmed by a permit. Term-bound services also need the permit to
   /// hold at `now`.
@@ -293,6 +307,7 @@
   position_samples samples_;
   bool sample_requested_ = false;
   bool replica_positions_requested_ = false;
+  bool relayed_ = false;
   std::uint32_t live_instances_ = 0;
 
   std::map<instance_id, instant> peer_suspicions_;
--- a/lib/core/groups.cc
+++ b/lib/core/groups.cc
@@ -163,14 +163,17 @@
              core.options.probe_interval_waiting;
 }
 
-/// Requests the permit, sample and positions that waiting requests need.
-void RequestUpdates(core_state& core, group_state& group) {
-  const bool await_release = !group.awaiting_release.empty();
-  const bool await_position = !group.awaiting_position.empty();
-  if (!await_release && !await_position && group.awaiting_sample.empty()) {
-    return;
-  }
-  const bool has_permit = group.terms.HoldsPermit(core.now);
+/// Returns true if the home instance's evidence, which is no older than a
+/// permit, is recent enough for every request that waits for a sample.
+bool RelayedSampleSuffices(const core_state& core, const group_state& group) {
+  return group.awaiting_sample.empty() ||
+         group.awaiting_sample.rbegin()->first <=
+             core.now - core.options.permit;
+}
+
+/// Probes for the permit, sample and positions that waiting requests and peers
+/// need.
+void ProbeForUpdates(core_state& core, group_state& group, bool has_permit) {
   const bool renew = !has_permit && core.now >= group.next_renewal;
   if (renew) {
     const bool by_probes = group.terms.Service().term_bound;
@@ -185,11 +188,29 @@
   // Where statements carry no term, they name the position that they need, and
   // positions arrive with their answers. Replicas are then probed only to
   // obtain a permit.
-  const bool term_bound = group.terms.Service().term_bound;
-  if (!has_permit || (term_bound && (await_position || await_release))) {
+  const bool awaits_replica =
+      !group.awaiting_release.empty() || !group.awaiting_position.empty();
+  if (!has_permit || (group.terms.Service().term_bound && awaits_replica)) {
     group.terms.RequestReplicaPositions();
   }
   group.terms.SendProbes(core.now, *core.effects);
+}
+
+/// Requests what waiting requests and peers need, from the group's home
+/// instance or by probes.
+void RequestUpdates(core_state& core, group_state& group) {
+  const bool peers_wait = !group.relay.waiting.empty();
+  if (group.awaiting_release.empty() && group.awaiting_position.empty() &&
+      group.awaiting_sample.empty() && !peers_wait) {
+    return;
+  }
+  const bool has_permit = group.terms.HoldsPermit(core.now);
+  const bool needs_evidence = !has_permit || SampleIsDue(core, group);
+  const bool relayed = needs_evidence && RelayedSampleSuffices(core, group) &&
+                       RequestEvidence(core, group);
+  if (!relayed) {
+    ProbeForUpdates(core, group, has_permit && !peers_wait);
+  }
   if (!core.next_wake.has_value() || *core.next_wake <= core.now) {
     core.next_wake = core.now + core.options.probe_interval_waiting;
     core.Emit(wake_at{*core.next_wake});
@@ -328,6 +349,7 @@
     OnRecordChanged(core, group);
   }
   ReleaseWaitingAnswers(core, group);
+  AnswerWaitingPeers(core, group);
   AdvanceFirst(core, group.awaiting_sample);
   AdvanceFirst(core, group.awaiting_position);
   RequestUpdates(core, group);
--- a/lib/core/membership.cc
+++ b/lib/core/membership.cc
@@ -76,6 +76,21 @@
   return ShareOf(static_cast<std::uint32_t>(rank), live, connections);
 }
 
+instance_id membership::HomeOf(group_id group) const {
+  instance_id home = self_;
+  std::uint64_t highest = 0;
+  for (const auto& [id, entry] : members_) {
+    // Rendezvous hashing: a change of the list moves few groups.
+    const std::uint64_t weight =
+        HashName(std::to_string(id.value ^ group.value));
+    if (!entry.leaving && !left_.contains(id) && weight > highest) {
+      home = id;
+      highest = weight;
+    }
+  }
+  return home;
+}
+
 std::uint32_t membership::LiveCount() const {
   return static_cast<std::uint32_t>(
       std::max<std::size_t>(1, members_.size() - left_.size()));
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -49,6 +49,10 @@
   /// instances, in order of their seats.
   std::uint32_t Share(std::uint32_t seats, std::uint32_t connections) const;
 
+  /// Returns the member that gathers the evidence of a group for all others:
+  /// the same for all instances with the same list, this one included.
+  instance_id HomeOf(group_id group) const;
+
   /// Returns the number of listed instances that have not left; at least 1.
   std::uint32_t LiveCount() const;
 
--- a/lib/core/peers.cc
+++ b/lib/core/peers.cc
@@ -9,6 +9,7 @@
 
 #include "apply_catalogue.h"
 #include "connections.h"
+#include "evidence_relay.h"
 #include "groups.h"
 #include "lending.h"
 
@@ -81,8 +82,16 @@
     OnLoanReturn(core_, from_, returned);
   }
 
+  void operator()(const evidence_request& request) const {
+    OnEvidenceRequest(core_, from_, request);
+  }
+  void operator()(const evidence_update& update) const {
+    OnEvidenceUpdate(core_, from_, update);
+  }
+
   void operator()(const leave_notice&) const {
     core_.members.OnLeaveNotice(from_);
+    ChooseHomes(core_);
     OnLenderLeft(core_, from_);
     UpdateShares(core_);
   }
@@ -122,6 +131,7 @@
     }
   }
   UpdateGroupPeers(core);
+  ChooseHomes(core);
   UpdateShares(core);
 }
 
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -207,9 +207,12 @@
   if (!service_.term_bound) {
     // Answers to statements supply the evidence. Probes are needed only for
     // endpoints of unknown state and during a change of primary.
-    const bool needed =
-        !view.state_sampled_at.has_value() || view.new_connection_required ||
-        view.unreachable_since.has_value() || step_ != step::kIdle;
+    // The holder of the duty acts on states that it has seen itself.
+    const bool provided = relayed_ && fence_ == 0;
+    const bool unknown = !view.state_sampled_at.has_value() && !provided;
+    const bool needed = unknown || view.new_connection_required ||
+                        view.unreachable_since.has_value() ||
+                        step_ != step::kIdle;
     return needed ? view.next_probe : instant::max();
   }
   if (view.next_probe == instant{} || !view.state_sampled_at.has_value() ||
--- a/lib/peer/peer_codec.cc
+++ b/lib/peer/peer_codec.cc
@@ -54,6 +54,25 @@
     out_.mutable_record_ack()->set_revision(value.revision);
   }
   void operator()(const leave_notice& /*value*/) { out_.mutable_farewell(); }
+  void operator()(const evidence_request& value) {
+    out_.mutable_evidence_request()->set_group(value.group.value);
+    out_.mutable_evidence_request()->set_ticket(value.ticket);
+  }
+  void operator()(const evidence_update& value) {
+    proto::EvidenceUpdate& to = *out_.mutable_evidence_update();
+    to.set_group(value.group.value);
+    to.set_ticket(value.ticket);
+    to.set_record_revision(value.record_revision);
+    for (const endpoint_evidence& known : value.endpoints) {
+      proto::EndpointEvidence& entry = *to.add_endpoints();
+      entry.set_endpoint(known.endpoint.value);
+      entry.set_term(known.state.term);
+      WritePoint(known.state.Point(), *entry.mutable_log());
+      entry.set_primary(known.state.role == endpoint_role::kPrimary);
+      WritePoint(known.state.received_point, *entry.mutable_received());
+      entry.set_age(known.age.count());
+    }
+  }
 
  private:
   template <typename from, typename to>
@@ -62,6 +81,10 @@
     out.set_connections(value.connections);
     out.set_loan(value.loan_id);
   }
+  static void WritePoint(log_point value, proto::LogPoint& out) {
+    out.set_term(value.term);
+    out.set_position(value.position);
+  }
 
   proto::Envelope& out_;
 };
@@ -100,6 +123,27 @@
   return peer_message(grant);
 }
 
+result<peer_message> ReadEvidence(const proto::EvidenceUpdate& in) {
+  evidence_update out{{in.group()}, in.ticket(), in.record_revision(), {}};
+  for (const proto::EndpointEvidence& entry : in.endpoints()) {
+    if (entry.age() < 0) {
+      return Fail(error_kind::kInvalid, "evidence from the future");
+    }
+    endpoint_evidence known;
+    known.endpoint = {entry.endpoint()};
+    known.state.term = entry.term();
+    known.state.log_term = entry.log().term();
+    known.state.position = entry.log().position();
+    known.state.role =
+        entry.primary() ? endpoint_role::kPrimary : endpoint_role::kReplica;
+    known.state.received_point = {entry.received().term(),
+                                  entry.received().position()};
+    known.age = duration(entry.age());
+    out.endpoints.push_back(known);
+  }
+  return peer_message(std::move(out));
+}
+
 result<peer_message> ReadMessage(const proto::Envelope& in) {
   switch (in.message_case()) {
     case proto::Envelope::kSuspicionReport:
@@ -123,6 +167,11 @@
     case proto::Envelope::kRecordAck:
       return peer_message(
           record_ack{{in.record_ack().group()}, in.record_ack().revision()});
+    case proto::Envelope::kEvidenceRequest:
+      return peer_message(evidence_request{{in.evidence_request().group()},
+                                           in.evidence_request().ticket()});
+    case proto::Envelope::kEvidenceUpdate:
+      return ReadEvidence(in.evidence_update());
     case proto::Envelope::MESSAGE_NOT_SET:
       break;
   }
--- a/unittests/core/first_record_test.cc
+++ b/unittests/core/first_record_test.cc
@@ -48,4 +48,25 @@
   EXPECT(world.violations == 0);
 }
 
+Test(first_record, is_written_in_a_fleet_with_home_instances) {
+  new_group_world world;
+  std::vector<member> fleet = {{IdOf<instance_id>("i"), "i", {}, {}, false, 0}};
+  for (std::uint32_t seat = 1; seat < 40; ++seat) {
+    const std::string name = std::to_string(seat);
+    fleet.push_back({IdOf<instance_id>(name), name, {}, {}, false, seat});
+  }
+  world.SetMembers(fleet);
+  SECTION("an instance without the duty leaves the databases alone") {
+    world.probes = 0;
+    world.AdvanceTime(seconds(5));
+    EXPECT(world.written_records.empty());
+    EXPECT(world.probes == 0);
+  }
+  SECTION("the holder of the duty finds out their states by itself") {
+    world.HoldDuty(seconds(30));
+    world.AdvanceTime(seconds(5));
+    EXPECT(world.written_records.size() == 1);
+  }
+}
+
 }  // namespace marjoramslip
--- a/unittests/core/harness.h
+++ b/unittests/core/harness.h
@@ -191,6 +191,7 @@
   std::vector<caller_id> closed_callers;
   bool is_drained = false;
   std::vector<peer_message> peer_messages;
+  std::vector<instance_id> peer_recipients;  ///< Of the messages, in order.
 
  private:
   static core_options Options() {
@@ -236,6 +237,7 @@
           increment->counter_kind == counter::kInvariantViolations ? 1 : 0;
     } else if (auto* message = std::get_if<send_peer_message>(&emitted)) {
       peer_messages.push_back(message->message);
+      peer_recipients.push_back(message->recipient);
     } else if (auto* promotion = std::get_if<promote_endpoint>(&emitted)) {
       promotions.push_back(*promotion);
     } else if (auto* move = std::get_if<move_endpoint>(&emitted)) {
--- a/unittests/peer/peer_codec_test.cc
+++ b/unittests/peer/peer_codec_test.cc
@@ -127,6 +127,14 @@
       "round trip",
       [](std::uint64_t id, std::uint64_t number, std::uint32_t count) {
         const loan_grant grant{{id}, count, number, RandomDuration()};
+        endpoint_evidence known{{number}, {}, RandomDuration()};
+        known.state.term = id;
+        known.state.log_term = number;
+        known.state.position = count;
+        known.state.role =
+            count % 2 == 0 ? endpoint_role::kPrimary : endpoint_role::kReplica;
+        known.state.received_point = {number, id};
+        const evidence_update evidence{{id}, number, id, {known, known}};
         const std::vector<peer_message> messages{
             suspicion_report{{id}, {number}, id, count % 2 == 0},
             revision_update{number},
@@ -134,6 +142,8 @@
             loan_request{{id}, count, number},
             grant,
             loan_return{{id}, count, number},
+            evidence_request{{id}, number},
+            evidence,
             leave_notice{}};
         for (const peer_message& message : messages) {
           const std::string bytes = Encode({{id}, message});
@@ -141,6 +151,13 @@
           RC_ASSERT(Decodes(bytes, out));
           RC_ASSERT(out.message.index() == message.index());
           RC_ASSERT(Encode(out) == bytes);
+          if (const auto* got = std::get_if<evidence_update>(&out.message)) {
+            RC_ASSERT(got->ticket == number && got->record_revision == id);
+            RC_ASSERT(got->endpoints.size() == 2U);
+            RC_ASSERT(got->endpoints[1].endpoint == known.endpoint);
+            RC_ASSERT(got->endpoints[1].state == known.state);
+            RC_ASSERT(got->endpoints[1].age == known.age);
+          }
           if (const auto* got = std::get_if<loan_grant>(&out.message)) {
             RC_ASSERT(got->endpoint == grant.endpoint &&
                       got->loan_id == grant.loan_id);
@@ -176,6 +193,13 @@
     group.mutable_endpoints(0)->set_port(65536);
     EXPECT(!Decodes(in.SerializeAsString(), out));
   }
+  SECTION("evidence that is sampled after it was sent") {
+    proto::Envelope relayed;
+    relayed.mutable_evidence_update()->add_endpoints()->set_age(1);
+    EXPECT(Decodes(relayed.SerializeAsString(), out));
+    relayed.mutable_evidence_update()->mutable_endpoints(0)->set_age(-1);
+    EXPECT(!Decodes(relayed.SerializeAsString(), out));
+  }
   SECTION("missing or duplicate names") {
     in.mutable_catalogue_news()->clear_services();
     in.mutable_catalogue_news()->add_services()->set_name("s");
