Write no key without a lease once an instance has left

Cause: Leave() sets the lease to 0 from another thread. A claim that was being prepared then wrote the announcement and the seat without a lease: an instance that had left stayed on the list for good (so did a duty claimed at that moment). The lease is now read once for each claim, and none is made without it. Test: leaving (fails before: the instance is listed after it left).

--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -136,9 +136,13 @@
 
 void platform_membership::ClaimDuty() {
   const std::string key = context_.Keys().Duty();
+  const std::uint64_t lease = lease_;
+  if (lease == 0) {
+    return;  // Leave() has revoked it; a key without a lease would stay.
+  }
+  const std::string value = FormatClaim({self_.name, lease});
   const auto claimed = Attempt([&] {
-    return context_.Store().Transact({{key, 0}},
-                                     {{key, SeatValue(), false, lease_}});
+    return context_.Store().Transact({{key, 0}}, {{key, value, false, lease}});
   });
   context_.RecordCallResult(claimed);
   if (claimed) {
@@ -146,8 +150,7 @@
   } else if (claimed.Failed(error_kind::kUnknown)) {
     const auto found =
         Attempt([&] { return context_.Store().Range(key, true); });
-    if (found && !found->entries.empty() &&
-        found->entries[0].value == SeatValue()) {
+    if (found && !found->entries.empty() && found->entries[0].value == value) {
       fence_ = found->entries[0].mod_revision;
     }
   }
@@ -216,10 +219,6 @@
   return static_cast<bool>(entry);
 }
 
-std::string platform_membership::SeatValue() const {
-  return FormatClaim({self_.name, lease_});
-}
-
 bool platform_membership::RevokeFormerLeases() {
   while (!former_leases_.empty()) {
     const std::uint64_t lease = *former_leases_.begin();
@@ -298,11 +297,15 @@
                                     std::uint64_t entry_revision) {
   const kv::key_space& keys = context_.Keys();
   const std::string key = keys.Instance(self_.name);
+  const std::uint64_t lease = lease_;
+  if (lease == 0) {
+    return false;  // Leave() has revoked it; keys without a lease would stay.
+  }
   member announcement = self_;
   announcement.seat = seat;
   std::vector<kv::mutation> writes = {
-      {keys.Seat(seat), SeatValue(), false, lease_},
-      {key, FormatMember(announcement), false, lease_}};
+      {keys.Seat(seat), FormatClaim({self_.name, lease}), false, lease},
+      {key, FormatMember(announcement), false, lease}};
   if (held) {
     writes.push_back({keys.Seat(*held), "", true, 0});
   }
--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -83,7 +83,6 @@
   bool ClaimSeat(std::uint32_t seat, std::uint64_t seat_revision,
                  std::optional<std::uint32_t> held,
                  std::uint64_t entry_revision);
-  std::string SeatValue() const;
   /// True unless the seat held is at or above the limit.
   bool HoldsUsableSeat();
   /// Revokes the leases of earlier processes of this name. Returns false if
