Answer requests for evidence until the instance has left; bound their ages

Cause: a home instance that drains did not answer; each of the others then waited 60 ms for it, once a second and group, for as long as the drain lasted. Test: evidence_relay/a_home_instance_answers_until_it_has_left (failed before). By reading: an age of 2^63 us in a message would have overflowed in the check of the permit. Ages beyond a permit are dropped now; the test (a_malformed_age_gives_no_permit) passed before too, in a build without the undefined-behaviour sanitizer. Two counters: requests for evidence, and those that were not answered.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -176,6 +176,8 @@
   kReadsTakenOver,
   kRetries,
   kRefusals,
+  kEvidenceRequested,
+  kEvidenceUnanswered,
 };
 
 /// Increments a counter by `amount`, for `group` if it is not 0.
--- a/lib/core/evidence_relay.cc
+++ b/lib/core/evidence_relay.cc
@@ -49,11 +49,13 @@
     }
     relay.pending.reset();
     relay.home_silent_until = core.now + kSilencePenalty;
+    core.Count(counter::kEvidenceUnanswered, group.terms.Id());
   }
   if (core.now < relay.home_silent_until) {
     return false;
   }
   relay.pending = {core.next_ticket++, core.now};
+  core.Count(counter::kEvidenceRequested, group.terms.Id());
   core.Emit(send_peer_message{
       relay.home, evidence_request{group.terms.Id(), relay.pending->ticket}});
   return true;
@@ -62,7 +64,7 @@
 void OnEvidenceRequest(core_state& core, instance_id from,
                        const evidence_request& request) {
   group_state* const group = core.Group(request.group);
-  if (group == nullptr || core.draining) {
+  if (group == nullptr) {
     return;
   }
   group->relay.waiting[from] = {request.ticket, core.now};
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -181,9 +181,11 @@
   }
   for (const endpoint_evidence& known : update.endpoints) {
     endpoint_view* const view = Find(known.endpoint);
-    const instant sampled_at = requested_at - known.age;
-    if (view == nullptr || known.state.log_term != Term() ||
-        sampled_at < view->log_sampled_at) {
+    const instant sampled_at =
+        requested_at - std::min(known.age, options_.permit);
+    // An age beyond a permit is of no use, and may be malformed.
+    if (view == nullptr || known.age > options_.permit ||
+        known.state.log_term != Term() || sampled_at < view->log_sampled_at) {
       continue;
     }
     const bool is_primary = known.endpoint == Primary();
--- a/lib/runtime/metrics.cc
+++ b/lib/runtime/metrics.cc
@@ -54,6 +54,12 @@
                    "Requests tried again", 1},
     counter_metric{counter::kRefusals, "marjoramslip_refusals_total",
                    "Requests refused before they ran", 1},
+    counter_metric{counter::kEvidenceRequested,
+                   "marjoramslip_evidence_requests_total",
+                   "Requests for evidence to home instances", 1},
+    counter_metric{counter::kEvidenceUnanswered,
+                   "marjoramslip_evidence_unanswered_total",
+                   "Requests for evidence that timed out", 1},
 };
 
 const prometheus::Histogram::BucketBoundaries& SecondsBuckets() {
--- a/unittests/core/evidence_relay_test.cc
+++ b/unittests/core/evidence_relay_test.cc
@@ -19,22 +19,21 @@
 /// not.
 struct fleet_world : promoted_world {
   explicit fleet_world(bool is_home) {
-    for (int salt = 0; (home == self) != is_home || salt == 0; ++salt) {
-      std::vector<member> all = {{self, "i", {}, {}, false, 0}};
-      for (int i = 1; i < kFleet; ++i) {
-        const std::string name = std::to_string(salt) + "-" + std::to_string(i);
-        all.push_back({IdOf<instance_id>(name),
-                       name,
-                       {},
-                       {},
-                       false,
-                       static_cast<std::uint32_t>(i)});
+    members = {{self, "i", {}, {}, false, 0}};
+    for (int i = 1; static_cast<int>(members.size()) < kFleet; ++i) {
+      const std::string name = "other-" + std::to_string(i);
+      const member other{IdOf<instance_id>(name),      name, {}, {}, false,
+                         static_cast<std::uint32_t>(i)};
+      membership pair(self);
+      pair.OnMembers(std::vector<member>{members[0], other}, Now());
+      if (!is_home || pair.HomeOf(Group()) == self) {
+        members.push_back(other);
       }
-      membership list(self);
-      list.OnMembers(all, Now());
-      home = list.HomeOf(Group());
-      members = all;
     }
+    membership list(self);
+    list.OnMembers(members, Now());
+    home = list.HomeOf(Group());
+    REQUIRE((home == self) == is_home);
     SetMembers(members);
     // Evidence from before is out of date.
     AdvanceTime(seconds(3));
@@ -133,6 +132,33 @@
   }
 }
 
+Test(evidence_relay, a_malformed_age_gives_no_permit) {
+  // Subtracting the longest age from the present time would overflow later.
+  fleet_world world(false);
+  const request_id write = world.RunWrite();
+  world.ignores_probes = true;
+  world.Reply(duration::max());
+  EXPECT(!world.IsReleased(write));
+  world.AdvanceTime(seconds(2));
+  EXPECT(!world.IsReleased(write));
+  EXPECT(world.violations == 0);
+}
+
+Test(evidence_relay, a_home_instance_answers_until_it_has_left) {
+  fleet_world world(true);
+  // An open transaction keeps it from ending at once.
+  const request_id begin =
+      world.SendStatement(statement_kind::kBegin, {}, kFreshCaller);
+  world.AnswerStatement(begin, transaction_status::kOpen);
+  world.AdvanceTime(milliseconds(500));
+  world.ApplyEvent(drain_requested{});
+  world.ApplyEvent(peer_received{world.members[1].id,
+                                 evidence_request{harness::Group(), 11}});
+  world.AdvanceTime(milliseconds(50));
+  REQUIRE(!world.is_drained);
+  EXPECT(world.CountMessages<evidence_update>() == 1);
+}
+
 Test(evidence_relay, a_silent_home_instance_is_replaced_by_own_probes) {
   fleet_world world(false);
   const request_id write = world.RunWrite();
