Let the removal of a lost database follow catalogues passed on by others

Cause: a database whose entry disappeared is dropped 2.5 s later, with the revision after this source's last one. A catalogue of another instance that started meanwhile has a higher revision, that of its read, and is in force by gossip; the removal then counted as old and was ignored. The database stayed in use at that instance until the next change of the registry. Now the removal's revision follows the newest change seen, the deletion itself at least. Test: registry_source/an_expiry_is_newer_than_catalogues_from_before_it (fails before).

--- a/lib/coordination/registry_source.cc
+++ b/lib/coordination/registry_source.cc
@@ -39,6 +39,7 @@
     // A single read fetches all keys. Startup waits for it, and with a slow
     // store each further read would add a noticeable delay.
     BOOST_LEAF_AUTO(range, store_.Range(decoder_.Prefix(), false));
+    newest_revision_ = std::max(newest_revision_, range.revision);
     std::map<std::string, bool, std::less<>> present;
     for (const kv::entry& entry : range.entries) {
       present[entry.key] = true;
@@ -54,6 +55,8 @@
   }
 
   source_change OnChange(const kv::change& change) override {
+    newest_revision_ =
+        std::max(newest_revision_, change.current_entry.mod_revision);
     if (decoder_.ClassifyKey(change.current_entry.key) ==
         registry_key_kind::kOther) {
       return source_change::kNone;
@@ -77,8 +80,10 @@
       return source_change::kNone;
     }
     // An expiry has no revision in the store, so the next revision is used
-    // early. The other instances see the same entries disappear.
-    BuildCatalogue(catalogue_.revision + 1);
+    // early. The other instances see the same entries disappear. It counts from
+    // the newest change: catalogues that other instances read before that one
+    // may be in force here and have higher revisions than this source's last.
+    BuildCatalogue(newest_revision_ + 1);
     return source_change::kChanged;
   }
 
@@ -211,6 +216,8 @@
   declarations declarations_;
   std::map<std::string, endpoint_entry, std::less<>> endpoints_;
   catalogue catalogue_;
+  /// The newest revision of the store that was seen.
+  std::uint64_t newest_revision_ = 0;
   std::vector<fault_reported> faults_;
   /// The newest revision of each key for which a fault was recorded.
   std::map<std::string, std::uint64_t, std::less<>> fault_revisions_;
--- a/unittests/coordination/registry_source_test.cc
+++ b/unittests/coordination/registry_source_test.cc
@@ -122,6 +122,27 @@
   }
 }
 
+Test(registry_source, an_expiry_is_newer_than_catalogues_from_before_it) {
+  registry_fixture s;
+  s.Put("/declared", "1");
+  s.Put("/endpoints/a", "host-a");
+  REQUIRE(s.TryLoad());
+  // Another instance starts later. Its catalogue has the revision of its own
+  // read, and is passed on to all instances.
+  s.Put("/elsewhere", "1");
+  const auto other = MakeRegistrySource(s.store, s.decoder);
+  REQUIRE(Attempt([&] { return other->Load(); }));
+  const std::uint64_t passed_on = other->Value().revision;
+  REQUIRE(s.source->Value().revision < passed_on);
+  REQUIRE(s.source->OnChange(s.Delete("/endpoints/a")) == source_change::kNone);
+  SECTION("the catalogue without the endpoint takes its place") {
+    REQUIRE(s.source->OnTimer(BootTime() + seconds(3)) ==
+            source_change::kChanged);
+    EXPECT(s.EndpointNames().empty());
+    EXPECT(s.source->Value().revision > passed_on);
+  }
+}
+
 Test(registry_source, removes_endpoints_whose_entries_are_deleted) {
   registry_fixture s;
   s.Put("/declared", "1");
