Make every database a witness before callers use the group

From 5.88 to 12.88 s the primary and 44 instances were cut off. While a set has one witness, the old primary's own answers are a majority, so that whoever reaches it holds a permit. Cause: a set of witnesses was reviewed only while callers used the group where the duty is held, and only under a permit, for which nobody asked. Change: the holder of the duty reviews a set that does not match the declared databases at once, and asks for the evidence it needs. Test: first_record/is_completed_before_any_caller_uses_the_group (fails before).

--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -147,6 +147,12 @@
   /// later term is open.
   bool HoldsPermit(instant now) const;
 
+  /// True while this instance has to change the set of witnesses: a database
+  /// that is not a witness yet was declared, or a witness is not declared any
+  /// more. Until then fewer databases than there are decide who may
+  /// acknowledge.
+  bool AwaitsWitnessReview(instant now) const;
+
   /// Returns the evidence of the term, with the primary's position, for other
   /// instances; empty if a permit will not hold for at least `remaining`.
   std::optional<evidence_update> Evidence(duration remaining,
--- a/lib/core/group_upkeep.cc
+++ b/lib/core/group_upkeep.cc
@@ -142,6 +142,22 @@
   StartRecordWrite(std::move(next), step::kReplacingWitnesses, now, effects);
 }
 
+bool group_terms::AwaitsWitnessReview(instant now) const {
+  if (service_.term_bound || !Open() || !MayDrive(now)) {
+    return false;
+  }
+  const auto& witnesses = record_.record.witnesses;
+  return std::any_of(
+             witnesses.begin(), witnesses.end(),
+             [this](endpoint_id id) { return !endpoints_.contains(id); }) ||
+         std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [this](const auto& entry) {
+                       return !entry.second.spec.leaving &&
+                              !entry.second.unreachable_since.has_value() &&
+                              !IsWitness(entry.first);
+                     });
+}
+
 /// Reviews the set of witnesses where the platform promotes. Only the holder of
 /// the duty changes the set. Without a permit, as when a majority is lost for
 /// good, it does so once every instance that may hold evidence from the old set
@@ -155,6 +171,12 @@
     ReplaceWitness(now, effects);
     return;
   }
+  if (AwaitsWitnessReview(now)) {
+    // Without callers nobody else asks for the evidence of a permit.
+    RequestSample();
+    RequestReplicaPositions();
+    next_review_ = now + kReviewIntervalWithoutPermit;
+  }
   const auto& witnesses = record_.record.witnesses;
   const bool any_removed =
       std::any_of(witnesses.begin(), witnesses.end(),
--- a/lib/core/groups.cc
+++ b/lib/core/groups.cc
@@ -242,7 +242,8 @@
   return core.now - group.last_used_at < kWatchTimeAfterUse ||
          IsActive(group) || group.open_transactions > 0 || group.withdrawn ||
          primary == nullptr || primary->spec.leaving || AnyReplicaLags(group) ||
-         group.pool_ids.size() != group.terms.Endpoints().size();
+         group.pool_ids.size() != group.terms.Endpoints().size() ||
+         group.terms.AwaitsWitnessReview(core.now);
 }
 
 void SetGroupTimer(core_state& core, group_state& group, instant due) {
--- a/unittests/core/first_record_test.cc
+++ b/unittests/core/first_record_test.cc
@@ -48,6 +48,40 @@
   EXPECT(world.violations == 0);
 }
 
+Test(first_record, is_completed_before_any_caller_uses_the_group) {
+  // Of three databases, two register seconds after the record was written. A
+  // set of one witness gives a permit to whoever reaches the old primary alone.
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  for (const char* name : {"x", "y", "z"}) {
+    world.State(name) = {1, 1, 10, endpoint_role::kReplica};
+  }
+  world.State("x").role = endpoint_role::kPrimary;
+  catalogue notes = world.MakeCatalogue(2);
+  service_spec late = notes.services.at("ledger");
+  late.name = "late";
+  late.groups[0].name = "late";
+  late.groups[0].endpoints.clear();
+  for (const std::string name : {"x", "y", "z"}) {
+    endpoint_spec endpoint;
+    endpoint.name = name;
+    endpoint.connections = 3;
+    late.groups[0].endpoints.push_back(endpoint);
+    notes.services.insert_or_assign("late", late);
+    world.ApplyEvent(catalogue_seen{notes});
+    if (name == "x") {
+      world.ApplyEvent(record_seen{IdOf<group_id>("late"), versioned_record{}});
+    }
+    world.AdvanceTime(seconds(4));
+    ++notes.revision;
+  }
+  REQUIRE(!world.written_records.empty());
+  SECTION("each database becomes a witness without a statement of a caller") {
+    EXPECT(world.written_records.back().witnesses.size() == 3);
+  }
+  EXPECT(world.violations == 0);
+}
+
 Test(first_record, is_written_in_a_fleet_with_home_instances) {
   new_group_world world;
   std::vector<member> fleet = {{IdOf<instance_id>("i"), "i", {}, {}, false, 0}};
