Probe instead of asking a home instance with another record

Cause, by reading: a home instance with a newer or older record was asked again as soon as its evidence had been dropped, for as long as the records differed, and this instance never probed. Test: the section on another revision in evidence_relay.

--- a/lib/core/evidence_relay.cc
+++ b/lib/core/evidence_relay.cc
@@ -85,6 +85,11 @@
   }
   const instant requested_at = relay.pending->sent_at;
   relay.pending.reset();
+  if (update.record_revision != group->terms.Record().revision) {
+    // One of the two has missed a change of the record.
+    relay.home_silent_until = core.now + kSilencePenalty;
+    core.Emit(read_record{update.group});
+  }
   group->terms.OnRelayedEvidence(update, requested_at, core.now);
   core.MarkDirty(*group);
 }
--- a/unittests/core/evidence_relay_test.cc
+++ b/unittests/core/evidence_relay_test.cc
@@ -126,9 +126,14 @@
   }
   SECTION("evidence for another revision of the record is dropped") {
     fleet_world world(false);
+    world.ignores_probes = true;
+    const std::uint64_t reads = world.record_reads;
     const request_id write = world.RunWrite();
     world.Reply(milliseconds(0), 2);
     EXPECT(!world.IsReleased(write));
+    EXPECT(world.record_reads == reads + 1);
+    world.AdvanceTime(milliseconds(100));
+    EXPECT(world.CountMessages<evidence_request>() == 1);
   }
 }
 
