Notice a claim of the duty that takes effect late

Cause: a claim whose answer was lost, and which took effect after this instance had read that nobody held the duty, conflicted with the next claim or showed in the watch. Either counted as another instance's: the duty was held under this instance's lease and nobody promoted, for as long as the instance ran. Now a conflict is followed by a read, and a key with this instance's claim is recognised. Test: duty/a_claim_that_takes_effect_late_is_noticed (fails before).

--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -61,10 +61,12 @@
   PostFaults();
   membership_.OnDirectoryRead(range);
   std::vector<kv::entry> groups;
-  bool duty_vacant = true;
+  std::optional<std::string> duty_holder;
   members_.clear();
   for (kv::entry& entry : range.entries) {
-    duty_vacant = duty_vacant && entry.key != keys.Duty();
+    if (entry.key == keys.Duty()) {
+      duty_holder = entry.value;
+    }
     if (const auto name =
             kv::key_space::StripDirectory(keys.Groups(), entry.key)) {
       group_revisions_[std::string(*name)] = entry.mod_revision;
@@ -78,8 +80,8 @@
     OnGroup(*kv::key_space::StripDirectory(keys.Groups(), entry.key), entry);
   }
   const bool listed = members_.contains(self_.name);
-  if (source_.PlatformPromotes() && (listed || !duty_vacant)) {
-    membership_.OnDutyChange(duty_vacant, DutyClaimDelay());
+  if (source_.PlatformPromotes() && (listed || duty_holder.has_value())) {
+    membership_.OnDutyChange(duty_holder, DutyClaimDelay());
   }
   // The first read is usually older than the announcement. Once that is
   // written, the watch delivers it.
@@ -155,7 +157,10 @@
     return;
   }
   if (key == keys.Duty()) {
-    membership_.OnDutyChange(change.erased, DutyClaimDelay());
+    membership_.OnDutyChange(change.erased
+                                 ? std::nullopt
+                                 : std::optional(change.current_entry.value),
+                             DutyClaimDelay());
     return;
   }
   const auto group = kv::key_space::StripDirectory(keys.Groups(), key);
--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -100,9 +100,13 @@
   }
 }
 
-void platform_membership::OnDutyChange(bool vacant, duration delay) {
-  if (!vacant) {
-    claim_duty_at_ = 0;
+void platform_membership::OnDutyChange(const std::optional<std::string>& holder,
+                                       duration delay) {
+  if (holder.has_value()) {
+    // A claim of this instance that took effect although its answer was lost:
+    // claiming again tells whether the duty is held.
+    const bool own = *holder == FormatClaim({self_.name, lease_});
+    claim_duty_at_ = own ? BootTime().time_since_epoch().count() : 0;
     return;
   }
   duration::rep unset = 0;
@@ -147,7 +151,10 @@
   context_.RecordCallResult(claimed);
   if (claimed) {
     fence_ = *claimed;
-  } else if (claimed.Failed(error_kind::kUnknown)) {
+  } else if (claimed.Failed(error_kind::kUnknown) ||
+             claimed.Failed(error_kind::kConflict)) {
+    // A conflict may be with an earlier claim of this instance whose answer was
+    // lost.
     const auto found =
         Attempt([&] { return context_.Store().Range(key, true); });
     if (found && !found->entries.empty() && found->entries[0].value == value) {
--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -46,10 +46,10 @@
   /// Revokes the lease and acquires no further one.
   void Leave();
 
-  /// Reports whether the key of the duty to promote is absent. This instance
-  /// claims a vacant duty after `delay`, unless another was faster: `delay`
-  /// grows with the instance's place in the order of claimants.
-  void OnDutyChange(bool vacant, duration delay);
+  /// Reports the value of the duty's key; empty if nobody holds the duty to
+  /// promote. This instance claims a vacant duty after `delay`, unless another
+  /// was faster: `delay` grows with its place in the order of claimants.
+  void OnDutyChange(const std::optional<std::string>& holder, duration delay);
 
   /// Passes the entries read at the start, for the first announcement.
   void OnDirectoryRead(kv::range_result entries);
