Read the record of a term-bound group also while there is none

Cause: left out reads of a record that doesn't exist yet for all groups. Left out now only where the holder of the duty writes the first record.

--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -97,8 +97,10 @@
   }
   RecordPromotion(*view);
   if (state.term > Term()) {
-    // The watch delivers a group's first record; only a newer one can be late.
-    record_read_requested_ = record_read_requested_ || record_.revision != 0;
+    // Where one instance writes the first record, the watch delivers it. Reads
+    // of all groups by all instances until then would overload the store.
+    const bool first_awaited = !service_.term_bound && record_.revision == 0;
+    record_read_requested_ = record_read_requested_ || !first_awaited;
     return;
   }
   const bool is_primary = endpoint == Primary();
