--- a/unittests/kv/fake_gateway.h
+++ b/unittests/kv/fake_gateway.h
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/ThreadPool.h>
 
 #include <chrono>
 #include <functional>
@@ -42,7 +43,12 @@
         server_(new factory(*this), socket_, Parameters()) {
     server_.start();
   }
-  ~fake_gateway() { server_.stopAll(true); }
+  /// Waits for the server's threads: one that still answers while the program
+  /// ends would use strings of the library that are destroyed already.
+  ~fake_gateway() {
+    server_.stopAll(true);
+    Poco::ThreadPool::defaultPool().joinAll();
+  }
   fake_gateway(const fake_gateway&) = delete;
   fake_gateway& operator=(const fake_gateway&) = delete;
 
