--- a/unittests/coordination/platform_link_test.cc
+++ b/unittests/coordination/platform_link_test.cc
@@ -9,104 +9,11 @@
 #include "marjoramslip/core/record_codec.h"
 #include "marjoramslip/kv/memory_store.h"
 #include "marjoramslip/kv/note_store.h"
+#include "platform_link_fixture.h"
 #include "recording_loop.h"
 #include "story.h"
 
 namespace marjoramslip::shell {
-namespace {
-
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-
-constexpr char kPrefix[] = "/t/";
-
-release_note MakeNote(std::uint64_t base, const std::string& name) {
-  endpoint_spec endpoint;
-  endpoint.name = name + "-a";
-  endpoint.host = name;
-  endpoint.port = 1;
-  endpoint.failure_domain = "d";
-  service_spec service;
-  service.name = name;
-  service.groups = {{name + "-g", {endpoint}}};
-  release_note note;
-  note.base = base;
-  note.author = "desk";
-  note.summary = "add";
-  note.token = name;
-  note.put = {service};
-  return note;
-}
-
-/// A store with one accepted release note, and a platform link to it.
-struct platform_link_fixture {
-  platform_link_fixture() {
-    Accept(0, "one");
-    settings.name = "i-1";
-    settings.failure_domain = "d";
-    settings.key_prefix = kPrefix;
-    settings.membership_lease = seconds(2);
-    link = MakePlatformLink(settings, store, loop, "tcp://h:1");
-  }
-
-  void Accept(std::uint64_t base, const std::string& name) {
-    const kv::note_store notes(store, kv::key_space(kPrefix));
-    REQUIRE(notes.Accept(MakeNote(base, name), seconds(1)).has_value());
-  }
-
-  bool AwaitCatalogue(std::uint64_t revision) {
-    return loop
-        .Await<catalogue_seen>([&](const catalogue_seen& seen) {
-          return seen.value.revision == revision;
-        })
-        .has_value();
-  }
-
-  bool AwaitMembers(std::size_t count) {
-    return loop
-        .Await<members_seen>([&](const members_seen& seen) {
-          return seen.members.size() == count;
-        })
-        .has_value();
-  }
-
-  /// Waits until `count` seats are held. Returns false after 5 s.
-  bool AwaitSeats(std::size_t count) {
-    const std::string all = kv::key_space(kPrefix).Seats();
-    for (int i = 0; i < 500; ++i) {
-      if (store.Range(all, false).value().entries.size() == count) {
-        return true;
-      }
-      std::this_thread::sleep_for(milliseconds(10));
-    }
-    return false;
-  }
-
-  /// Writes the record of `group` and waits for the outcome.
-  record_written Write(std::uint64_t expected, std::uint64_t writer) {
-    write_record request;
-    request.operation.value = ++operations;
-    request.group = group;
-    request.expected_revision = expected;
-    request.record.term = writer;
-    request.record.writer = writer;
-    link->Write(request);
-    return loop
-        .Await<record_written>([&](const record_written& written) {
-          return written.operation == request.operation;
-        })
-        .value();
-  }
-
-  kv::memory_store store;
-  recording_loop loop;
-  instance_settings settings;
-  std::unique_ptr<platform_link> link;
-  group_id group = IdOf<group_id>("one-g");
-  std::uint64_t operations = 0;
-};
-
-}  // namespace
 
 Test(platform_link, catalogue_follows_release_notes) {
   platform_link_fixture s;
@@ -233,62 +140,6 @@
   EXPECT(end->outcome == write_outcome::kUnknown);
 }
 
-/// Returns the seat of an instance according to the list of members.
-std::optional<std::uint32_t> SeatOf(const members_seen& seen,
-                                    const std::string& name) {
-  for (const member& listed : seen.members) {
-    if (listed.name == name) {
-      return listed.seat;
-    }
-  }
-  return std::nullopt;
-}
-
-Test(platform_link, each_instance_holds_a_seat) {
-  platform_link_fixture s;
-  const auto holds = [](const std::string& name, std::uint32_t seat) {
-    return [name, seat](const members_seen& seen) {
-      return SeatOf(seen, name) == seat;
-    };
-  };
-  REQUIRE(s.loop.Await<members_seen>(holds("i-1", 0)));
-  instance_settings other = s.settings;
-  other.name = "i-2";
-  recording_loop other_loop;
-  auto second = MakePlatformLink(other, s.store, other_loop, "tcp://h:2");
-  SECTION("a new instance takes the lowest free seat") {
-    REQUIRE(s.loop.Await<members_seen>(holds("i-2", 1)));
-    EXPECT(other_loop.Await<members_seen>(holds("i-1", 0)));
-  }
-  SECTION("an instance keeps its seat during a store outage") {
-    s.loop.Forget();
-    s.store.SetDown(true);
-    std::this_thread::sleep_for(seconds(1));
-    s.store.SetDown(false);
-    s.store.ResetWatches();
-    EXPECT(s.loop.Await<members_seen>(holds("i-1", 0)));
-  }
-  SECTION("a restarted instance takes its seat back at once after a crash") {
-    // A crash does not revoke the lease in the store.
-    recording_loop loop;
-    REQUIRE(s.loop.Await<members_seen>(holds("i-2", 1)));
-    second.reset();
-    const auto third = MakePlatformLink(other, s.store, loop, "tcp://h:2");
-    EXPECT(loop.Await<members_seen>(holds("i-2", 1)));
-    EXPECT(s.AwaitSeats(2));
-  }
-  SECTION("an instance that leaves releases its seat") {
-    const kv::key_space keys(kPrefix);
-    s.link->Leave();
-    EXPECT(s.store.Range(keys.Seat(0), true).value().entries.empty());
-    instance_settings third = s.settings;
-    third.name = "i-3";
-    recording_loop loop;
-    const auto next = MakePlatformLink(third, s.store, loop, "tcp://h:3");
-    EXPECT(loop.Await<members_seen>(holds("i-3", 0)));
-  }
-}
-
 Test(platform_link, a_lost_announcement_is_written_again) {
   platform_link_fixture s;
   REQUIRE(s.AwaitCatalogue(1));
@@ -369,84 +220,6 @@
   }
 }
 
-Test(platform_link, a_seat_beyond_the_limit_is_exchanged) {
-  platform_link_fixture s;
-  REQUIRE(s.AwaitCatalogue(1));
-  release_note note = MakeNote(1, "few");
-  note.put[0].seats = 1;
-  const kv::note_store notes(s.store, kv::key_space(kPrefix));
-  REQUIRE(notes.Accept(note, seconds(1)).has_value());
-  REQUIRE(s.AwaitCatalogue(2));
-  REQUIRE(s.AwaitSeats(1));
-  instance_settings other = s.settings;
-  other.name = "i-2";
-  recording_loop loop;
-  const auto second = MakePlatformLink(other, s.store, loop, "tcp://h:2");
-  const auto holds = [](std::uint32_t seat) {
-    return [seat](const members_seen& seen) {
-      return SeatOf(seen, "i-2") == seat;
-    };
-  };
-  REQUIRE(loop.Await<members_seen>(holds(1)));
-  SECTION("a lower seat is claimed once it is free") {
-    s.link->Leave();
-    EXPECT(loop.Await<members_seen>(holds(0)));
-    EXPECT(s.AwaitSeats(1));
-  }
-}
-
-Test(platform_link, each_seat_has_one_holder) {
-  platform_link_fixture s;
-  REQUIRE(s.AwaitMembers(1));
-  const kv::key_space keys(kPrefix);
-  const auto seats = [&] {
-    return s.store.Range(keys.Seats(), false).value().entries;
-  };
-  SECTION("a claim whose response is lost holds one seat") {
-    s.store.ExpireLeases();
-    s.store.DropAnswers(3);
-    REQUIRE(s.AwaitSeats(1));
-    std::this_thread::sleep_for(milliseconds(1500));
-    EXPECT(seats().size() == 1);
-  }
-  SECTION("instances that start at the same time hold different seats") {
-    std::vector<std::unique_ptr<recording_loop>> loops;
-    std::vector<std::unique_ptr<platform_link>> links;
-    for (int number = 0; number < 8; ++number) {
-      instance_settings settings = s.settings;
-      settings.name = "many-" + std::to_string(number);
-      loops.push_back(std::make_unique<recording_loop>());
-      links.push_back(
-          MakePlatformLink(settings, s.store, *loops.back(), "tcp://h:9"));
-    }
-    REQUIRE(s.AwaitSeats(9));
-    std::set<std::string> holders;
-    for (const kv::entry& entry : seats()) {
-      holders.insert(entry.value);
-    }
-    EXPECT(holders.size() == 9);
-    // Every seat with a share of its own is taken before one without.
-    for (std::uint32_t seat = 0; seat < service_spec().seats; ++seat) {
-      EXPECT(!s.store.Range(keys.Seat(seat), true).value().entries.empty());
-    }
-  }
-  SECTION("a free seat is claimed if the seat of an expired lease was taken") {
-    // The other claim must come first, but the instance may be faster.
-    bool taken = false;
-    for (int i = 0; i < 100 && !taken; ++i) {
-      s.store.ExpireLeases();
-      taken = static_cast<bool>(Attempt([&] {
-        return s.store.Transact({{keys.Seat(0), 0}},
-                                {{keys.Seat(0), "another", false, 0}});
-      }));
-    }
-    REQUIRE(taken);
-    EXPECT(s.AwaitSeats(2));
-    EXPECT(s.store.Range(keys.Seat(0), true).value().entries[0].value ==
-           "another");
-  }
-}
-
 Test(platform_link, members_are_added_and_removed) {
   platform_link_fixture s;
   REQUIRE(s.AwaitMembers(1));
