--- a/review/4/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec python3 "$(dirname "$0")/case.py"
