Wait for readiness in the review's scripts, and tidy their imports

Cause: a future was taken for a result, so the scripts didn't wait for the ready probe; the write that follows did wait.

--- a/review/harness.py
+++ b/review/harness.py
@@ -1,12 +1,15 @@
 """Starts instances of the deploy file's program for the scripts of the review."""
 
 import asyncio
+import inspect
 import os
 import pathlib
 import re
 import signal
 import socket
+import sys
 import tempfile
+import traceback
 import urllib.request
 
 import standin
@@ -123,7 +126,7 @@
 async def until(what, holds, limit_s=20.0):
     for _ in range(int(limit_s / 0.05)):
         result = holds()
-        if asyncio.iscoroutine(result):
+        if inspect.isawaitable(result):
             result = await result
         if result:
             return
@@ -167,11 +170,9 @@
 
 
 def run(case, folder):
-    """Runs `case(record)`; it returns True if the rule was broken. Exits with 1
-    if so, 0 if not, 2 if the case couldn't run."""
-    import shutil
-    import sys
-    import traceback
+    """Runs `case(record, started, folder)`, which returns True if the rule was
+    broken; it gets a list of what to end and a temporary folder. Exits with 1 if
+    the rule was broken, 0 if not, 2 if the case couldn't run."""
     record = standin.Record(pathlib.Path(folder) / "record.txt")
 
     async def whole():
