Never release a read of a deposed primary under a later permit

Cause: a plain read at the primary was marked as a write. Its release then asked only whether its position is in the log of the present term, so rows that waited for a permit went out under the first permit of the next term. Change: only what may write is released as a write. A plain read whose term is over runs again: without term-bound statements its rows are still held here. Why it works: a read is released only under a permit of the term in which it was sent.

--- a/lib/core/answer_release.cc
+++ b/lib/core/answer_release.cc
@@ -17,7 +17,7 @@
 
 /// Fails a request whose answer could not be confirmed, because the term is
 /// over or its conditions were not met in time. A write with an idempotency key
-/// is retried if the term is over.
+/// and a read whose rows are still held here are retried if the term is over.
 void FailUnconfirmed(core_state& core, request_state& request, bool term_over) {
   if (request.is_write) {
     const bool has_key = request.kind == statement_kind::kWrite &&
@@ -32,9 +32,17 @@
     return;
   }
   if (IsReadOnly(request.kind) && !request.in_transaction) {
-    FailRequest(core, request,
-                {verdict::kMayHaveRun, sqlstate::kConnectionLost,
-                 "the answer could not be confirmed as current"});
+    const failure unconfirmed{verdict::kMayHaveRun, sqlstate::kConnectionLost,
+                              "the answer could not be confirmed as current"};
+    // Without term-bound statements, no part of the answer was forwarded.
+    const bool may_repeat =
+        request.kind == statement_kind::kRead &&
+        !core.Group(request.group)->terms.Service().term_bound;
+    if (may_repeat && term_over) {
+      Retry(core, request, unconfirmed);
+      return;
+    }
+    FailRequest(core, request, unconfirmed);
     return;
   }
   caller_state* const caller = core.Caller(request.caller);
--- a/lib/core/answers.cc
+++ b/lib/core/answers.cc
@@ -116,8 +116,12 @@
     ReleaseRead(core, request);
     return;
   }
-  request.is_write =
-      !transaction_open || request.kind == statement_kind::kCommit;
+  // Only a term-bound service runs a plain read that turns out to write.
+  const bool is_plain_read =
+      request.kind == statement_kind::kRead &&
+      !core.Group(request.group)->terms.Service().term_bound;
+  request.is_write = request.kind == statement_kind::kCommit ||
+                     (!transaction_open && !is_plain_read);
   AwaitRelease(core, request);
 }
 
