Give each instance a serving lease that ends before a promotion

Cause: the promotion went on 350 ms after the seal without the acknowledgement of an instance. The evidence of databases on which that instance's permit rests lasts until the promotion takes effect, and longer where a replica follows the next term before its first write. Opening the term on a majority in it rested on the same evidence. Change: an instance releases answers of primaries only under a serving lease of 1 s, from the store, from a peer that has one, or from all instances while the store is down. The promoter ends the membership leases of silent instances, and asks for the promotion once their serving leases have expired. docs/PROOFS.md has the argument. Without a lease, requests for a primary are refused at once. Two tests of the platform link wait for the second read, which now follows the announcement itself.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -127,6 +127,14 @@
 /// Reads the list of instances. Answered by members_seen, or not at all.
 struct read_members {};
 
+/// Ends the membership lease of an instance that does not acknowledge a sealed
+/// record, so that it cannot renew the lease. Answered by membership_ended, or
+/// not at all.
+struct end_membership {
+  instance_id member;
+  std::uint64_t lease = 0;
+};
+
 // Effects on other instances.
 
 /// Sends a message to one instance, or to all other instances if `recipient` is
@@ -199,8 +207,9 @@
     std::variant<release_answer, fail_request, close_caller, open_connection,
                  close_connection, send_statement, cancel_statement,
                  probe_endpoint, move_endpoint, promote_endpoint, write_record,
-                 read_record, read_members, send_peer_message, log_line,
-                 request_finished, counter_increment, wake_at, drained>;
+                 read_record, read_members, end_membership, send_peer_message,
+                 log_line, request_finished, counter_increment, wake_at,
+                 drained>;
 
 /// Effects in the order in which the shell must carry them out.
 using effect_list = std::vector<effect>;
--- a/include/marjoramslip/core/events.h
+++ b/include/marjoramslip/core/events.h
@@ -185,6 +185,8 @@
   /// seat is held by one member at a time. Seat k entitles its holder to share
   /// k of every endpoint's connections.
   std::optional<std::uint32_t> seat = std::nullopt;
+  /// The lease under which the entry was written; 0 if unknown.
+  std::uint64_t lease = 0;
 
   bool operator==(const member&) const = default;
 };
@@ -209,6 +211,25 @@
   instant held_until{};
 };
 
+/// This instance's membership lease was renewed by a call that was sent at
+/// `requested_at`. Its announcement under that lease was in the service at
+/// `announced_at`.
+struct membership_renewed {
+  instant requested_at{};
+  instant announced_at{};
+};
+
+/// All keys, the records among them, were read. The read began at
+/// `requested_at`.
+struct records_read {
+  instant requested_at{};
+};
+
+/// The membership lease of another instance was ended by `end_membership`.
+struct membership_ended {
+  instance_id member;
+};
+
 /// The reachability of the key-value service changed.
 struct store_reachability {
   bool reachable = false;
@@ -251,7 +272,8 @@
     caller_closed, connection_opened, connection_refused, statement_answered,
     connection_lost, statement_progressed, probe_answered, probe_failed,
     endpoint_moved, endpoint_promoted, record_seen, record_written,
-    catalogue_seen, members_seen, store_reachability, duty_seen, fault_reported,
+    catalogue_seen, members_seen, membership_renewed, records_read,
+    membership_ended, store_reachability, duty_seen, fault_reported,
     peer_received, promote_requested, drain_requested, tick>;
 
 }  // namespace marjoramslip
--- a/include/marjoramslip/core/options.h
+++ b/include/marjoramslip/core/options.h
@@ -25,6 +25,13 @@
   /// How long a promoter waits for all permits to expire: `permit` plus an
   /// allowance for clock drift.
   duration permit_wait = std::chrono::milliseconds(330);
+  /// How long an instance may release answers of primaries after it requested
+  /// the newest confirmation of its serving lease.
+  duration serving_lease = std::chrono::milliseconds(1000);
+  /// How long a promoter waits for another instance's serving lease to expire:
+  /// `serving_lease` plus an allowance for clock drift and for the time between
+  /// the last check of the lease and the sending of the answer.
+  duration serving_lease_wait = std::chrono::milliseconds(1200);
   /// Time between probes of an endpoint without other traffic.
   duration probe_interval = std::chrono::milliseconds(100);
   /// Time between probes while a request waits for a position.
--- a/include/marjoramslip/core/peer_messages.h
+++ b/include/marjoramslip/core/peer_messages.h
@@ -100,6 +100,31 @@
   std::vector<endpoint_evidence> endpoints;
 };
 
+/// The newest request of `peer` that the sender has received.
+struct serving_echo {
+  instance_id peer;
+  std::uint64_t sequence = 0;
+};
+
+/// The revision of a group's record that the sender acts on.
+struct record_revision {
+  group_id group;
+  std::uint64_t revision = 0;
+};
+
+/// Confirms to each instance in `echoes` that the sender had acknowledged no
+/// record newer than `records` when it received that instance's request.
+struct serving_status {
+  std::uint64_t sequence = 0;  ///< Unique and increasing for the sender.
+  bool reply_requested = false;
+  /// The sender knows the records that were agreed before its process started.
+  bool informed = false;
+  /// Remaining time of the sender's lease from the store; zero if it has none.
+  duration store_lease{};
+  std::vector<serving_echo> echoes;
+  std::vector<record_revision> records;
+};
+
 /// The sender shuts down and holds no more connections to endpoints.
 struct leave_notice {};
 
@@ -107,7 +132,7 @@
     std::variant<suspicion_report, record_update, revision_update,
                  catalogue_request, catalogue_update, loan_request, loan_grant,
                  loan_return, leave_notice, record_ack, evidence_request,
-                 evidence_update>;
+                 evidence_update, serving_status>;
 
 }  // namespace marjoramslip
 
--- a/include/marjoramslip/kv/key_value_store.h
+++ b/include/marjoramslip/kv/key_value_store.h
@@ -21,6 +21,7 @@
   std::string value;
   std::uint64_t create_revision = 0;
   std::uint64_t mod_revision = 0;
+  std::uint64_t lease = 0;  ///< 0: none.
 };
 
 /// The entries of a range and the store's revision at which they were read.
--- a/include/marjoramslip/runtime/platform_link.h
+++ b/include/marjoramslip/runtime/platform_link.h
@@ -8,8 +8,9 @@
 
 namespace marjoramslip::shell {
 
-/// Posts catalogue_seen, record_seen, record_written, members_seen and
-/// service_reachable.
+/// Posts catalogue_seen, record_seen, record_written, members_seen,
+/// membership_renewed, records_read, membership_ended, duty_seen and
+/// store_reachability.
 class platform_link {
  public:
   virtual ~platform_link() = default;
@@ -19,6 +20,8 @@
   virtual void Read(const read_record& what) = 0;
   /// Answers with members_seen.
   virtual void ReadMembers() = 0;
+  /// Answers with membership_ended once the lease has ended.
+  virtual void EndMembership(const end_membership& what) = 0;
   /// Tells a catalogue that did not come from the service, so that records of
   /// its groups can be read and written.
   virtual void Learn(const catalogue& value) = 0;
--- a/lib/coordination/platform_link_context.cc
+++ b/lib/coordination/platform_link_context.cc
@@ -37,6 +37,23 @@
   store_available_callback_ = std::move(callback);
 }
 
+void platform_context::SetAnnouncedCallback(
+    std::function<void(instant)> callback) {
+  const std::lock_guard lock(mutex_);
+  announced_callback_ = std::move(callback);
+  if (announced_callback_ && announced_at_) {
+    announced_callback_(*announced_at_);
+  }
+}
+
+void platform_context::ReportAnnounced(instant announced_at) {
+  const std::lock_guard lock(mutex_);
+  announced_at_ = announced_at;
+  if (announced_callback_) {
+    announced_callback_(announced_at);
+  }
+}
+
 void platform_context::UpdateCatalogue(const catalogue& value) {
   const std::lock_guard lock(mutex_);
   seat_limit_ = std::numeric_limits<std::uint32_t>::max();
--- a/lib/coordination/platform_link_context.h
+++ b/lib/coordination/platform_link_context.h
@@ -48,6 +48,11 @@
   /// `callback` is called, on any thread, when the store becomes reachable.
   void SetStoreAvailableCallback(std::function<void()> callback);
 
+  /// `callback` is called, on any thread, with the time at which this instance
+  /// was found announced in the store. Called at once if it is already.
+  void SetAnnouncedCallback(std::function<void(instant)> callback);
+  void ReportAnnounced(instant announced_at);
+
   /// Takes the group names and the seat limit from a catalogue.
   void UpdateCatalogue(const catalogue& value);
   /// Returns the group's name; empty if no catalogue has named it yet.
@@ -68,6 +73,8 @@
   std::mutex mutex_;
   std::optional<bool> reachable_;
   std::function<void()> store_available_callback_;
+  std::function<void(instant)> announced_callback_;
+  std::optional<instant> announced_at_;
   std::map<group_id, std::string> group_names_;
   std::atomic<std::size_t> member_count_ = 0;
   std::uint32_t seat_limit_ = std::numeric_limits<std::uint32_t>::max();
--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -90,13 +90,25 @@
     membership_.OnAnnouncementMissing();
   }
   members_requested_at_ = requested_at;
+  all_requested_at_ = requested_at;
   PostMembers();
+  context_.Post(records_read{requested_at});
   ArmTimer();
   // The watch repeats changes made between the reads; applying them twice is
   // harmless.
   return StartWatch(range.revision + 1);
 }
 
+void platform_follower::OnAnnounced(instant announced_at) {
+  worker_.Post([this, announced_at] {
+    // From now on the other instances count this one as a member. It reads all
+    // that they agreed on before it was listed, before it takes part.
+    if (all_requested_at_ < announced_at) {
+      Reload();
+    }
+  });
+}
+
 void platform_follower::ReadMembers() {
   worker_.Post([this] { RunReadMembers(); });
 }
@@ -122,6 +134,7 @@
   const auto parsed = Attempt([&] { return ParseMember(entry.value); });
   if (parsed) {
     members_[parsed->name] = {*parsed, entry.mod_revision};
+    members_[parsed->name].value.lease = entry.lease;
   } else {
     ReportMalformedMember(entry, parsed.failure);
   }
@@ -253,14 +266,9 @@
   }
   const auto parsed =
       Attempt([&] { return ParseMember(change.current_entry.value); });
-  if (parsed && name == self_.name && known == members_.end()) {
-    // From now on the other instances count this one as a member. It reads all
-    // that they agreed on before it was listed, before it takes part.
-    Reload();
-    return;
-  }
   if (parsed) {
     members_[std::string(name)] = {*parsed, change.current_entry.mod_revision};
+    members_[std::string(name)].value.lease = change.current_entry.lease;
     PostMembers();
     return;
   }
--- a/lib/coordination/platform_link_follower.h
+++ b/lib/coordination/platform_link_follower.h
@@ -32,6 +32,10 @@
   /// Reads the list of instances once. Callable from any thread.
   void ReadMembers();
 
+  /// Reads all keys unless they were read after `announced_at`, when this
+  /// instance was found announced. Callable from any thread.
+  void OnAnnounced(instant announced_at);
+
   /// Ends the pause before the next attempt, because the store is reachable
   /// again. Callable from any thread.
   void OnStoreAvailable() { worker_.InterruptPause(); }
@@ -80,6 +84,8 @@
   /// When the list of members was requested. An instance that was listed then
   /// is in `members_`, or has left since.
   instant members_requested_at_{};
+  /// When the newest read of all keys was requested.
+  instant all_requested_at_{};
   /// Number of the current watch; late deliveries of older ones are dropped.
   std::uint64_t generation_ = 0;
   std::unique_ptr<kv::watch_handle> watch_;
--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -21,6 +21,9 @@
 constexpr duration kRetryPause = std::chrono::milliseconds(200);
 /// Number of renewals within the duration of a lease.
 constexpr int kRenewalsPerLease = 3;
+/// Interval between renewals where the serving lease depends on them. Two of
+/// them may fail before it expires.
+constexpr duration kServingRenewalInterval = std::chrono::milliseconds(300);
 /// Number of conflicting claims that are attributed to other instances' claims
 /// of the same seat.
 constexpr std::uint32_t kConflictsWithoutEntry = 2;
@@ -71,8 +74,12 @@
 }
 
 platform_membership::platform_membership(platform_context& context, member self,
-                                         std::chrono::seconds lease)
-    : context_(context), self_(std::move(self)), lease_ttl_(lease) {
+                                         std::chrono::seconds lease,
+                                         bool platform_promotes)
+    : context_(context),
+      self_(std::move(self)),
+      lease_ttl_(lease),
+      platform_promotes_(platform_promotes) {
   worker_.Post([this] { Run(); });
 }
 
@@ -89,17 +96,28 @@
 void platform_membership::Run() {
   while (!worker_.Stopping()) {
     const bool done = RunStep();
-    const duration renewal_interval = duration(lease_ttl_) / kRenewalsPerLease;
     const bool idle = done && announced_ && former_leases_.empty();
     if (!done || idle) {
-      worker_.Pause(
-          idle ? std::min(renewal_interval,
-                          TimeUntilDutyClaim().value_or(renewal_interval))
-               : kRetryPause);
+      const duration until_renewal = TimeUntilRenewal();
+      worker_.Pause(idle
+                        ? std::min(until_renewal,
+                                   TimeUntilDutyClaim().value_or(until_renewal))
+                        : kRetryPause);
     }
   }
 }
 
+duration platform_membership::RenewalInterval() const {
+  const duration interval = duration(lease_ttl_) / kRenewalsPerLease;
+  return platform_promotes_ ? std::min(interval, kServingRenewalInterval)
+                            : interval;
+}
+
+duration platform_membership::TimeUntilRenewal() const {
+  return std::max(duration::zero(),
+                  lease_extended_at_ + RenewalInterval() - BootTime());
+}
+
 void platform_membership::OnDutyChange(const std::optional<std::string>& holder,
                                        duration delay) {
   if (holder.has_value()) {
@@ -172,7 +190,7 @@
 }
 
 void platform_membership::PostDuty() {
-  context_.Post(duty_seen{self_.id, fence_, lease_until_});
+  context_.Post(duty_seen{self_.id, fence_, lease_extended_at_ + lease_ttl_});
 }
 
 bool platform_membership::RunStep() {
@@ -342,14 +360,23 @@
 }
 
 void platform_membership::MarkAnnounced() {
+  if (!announced_) {
+    announced_at_ = BootTime();
+    context_.ReportAnnounced(announced_at_);
+  }
   announced_ = true;
   ever_announced_ = true;
+  PostRenewal();
+}
+
+void platform_membership::PostRenewal() {
+  if (platform_promotes_) {
+    context_.Post(membership_renewed{lease_extended_at_, announced_at_});
+  }
 }
 
 void platform_membership::OnLeaseExtended(instant requested_at) {
-  lease_until_ = requested_at + lease_ttl_;
-  // Half the interval, so that a pause that ends a little early still renews.
-  next_renewal_ = requested_at + duration(lease_ttl_) / kRenewalsPerLease / 2;
+  lease_extended_at_ = requested_at;
 }
 
 void platform_membership::OnLeaseLost(instant lost_at) {
@@ -357,14 +384,13 @@
   announced_ = false;
   if (fence_ != 0) {
     fence_ = 0;
-    lease_until_ = lost_at;
-    PostDuty();
+    context_.Post(duty_seen{self_.id, 0, lost_at});
   }
 }
 
 bool platform_membership::RenewLease() {
   const instant requested_at = BootTime();
-  if (requested_at < next_renewal_) {
+  if (TimeUntilRenewal() > duration::zero()) {
     return true;
   }
   const auto renewed =
@@ -378,6 +404,7 @@
     return false;
   }
   OnLeaseExtended(requested_at);
+  PostRenewal();
   if (fence_ != 0) {
     PostDuty();
   }
--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -40,8 +40,10 @@
 /// which also releases the duty.
 class platform_membership {
  public:
+  /// With `platform_promotes`, the serving lease depends on the renewals, which
+  /// then follow each other sooner.
   platform_membership(platform_context& context, member self,
-                      std::chrono::seconds lease);
+                      std::chrono::seconds lease, bool platform_promotes);
 
   /// Revokes the lease and acquires no further one.
   void Leave();
@@ -70,6 +72,11 @@
   bool VerifyAnnouncement();
   /// Records that the announcement is in the store.
   void MarkAnnounced();
+  /// Posts the newest renewal of the lease under which this instance is
+  /// announced.
+  void PostRenewal();
+  duration RenewalInterval() const;
+  duration TimeUntilRenewal() const;
   /// Records that the lease was granted or renewed by a call at `requested_at`.
   void OnLeaseExtended(instant requested_at);
   /// Discards the state that depended on the lease. The next step acquires
@@ -98,6 +105,7 @@
   platform_context& context_;
   member self_;
   std::chrono::seconds lease_ttl_;
+  bool platform_promotes_;
   std::atomic<std::uint64_t> lease_ = 0;
   std::atomic<bool> leaving_ = false;
   /// When to claim the duty, in ticks of `instant`; 0 while it is held.
@@ -117,14 +125,14 @@
   std::uint32_t conflicts_ = 0;
   /// This instance's entry may be in the store.
   bool own_entry_possible_ = false;
-  /// When the lease is renewed next. Other events wake the worker earlier.
-  instant next_renewal_{};
+  /// When the newest successful grant or renewal of the lease was requested.
+  instant lease_extended_at_{};
+  /// When the announcement was found in the store.
+  instant announced_at_{};
   /// The follower's initial read has not been waited for yet.
   bool initial_read_pending_ = true;
   /// Leases of earlier processes of this name that must still be revoked.
   std::set<std::uint64_t> former_leases_;
-  /// The lease does not expire before this time.
-  instant lease_until_{};
   /// The revision at which the duty was claimed; 0 if it is not held.
   std::uint64_t fence_ = 0;
   worker worker_;
--- a/lib/core/core_state.h
+++ b/lib/core/core_state.h
@@ -27,6 +27,7 @@
 #include "membership.h"
 #include "read_router.h"
 #include "retry_budget.h"
+#include "serving_lease.h"
 #include "session_store.h"
 #include "timer_queue.h"
 
@@ -117,6 +118,13 @@
   bool transaction_lost = false;  ///< Reset when it ends the transaction.
 };
 
+/// Whether this instance may use the primary of a group.
+enum class serving_phase : std::uint8_t {
+  kServing,
+  kPaused,     ///< The serving lease has expired; its renewal is awaited.
+  kSuspended,  ///< It was not renewed in time; requests are refused.
+};
+
 /// The state of one group: its terms and the requests that wait on it.
 struct group_state {
   group_state(const core_options& options, const service_spec& service,
@@ -147,6 +155,7 @@
   // The state to which the group last reacted, and times of its requests.
   std::uint64_t seen_revision = 0;
   term_number seen_term = 0;
+  serving_phase seen_phase = serving_phase::kServing;
   instant next_switch_request{};
   instant next_renewal{};
   /// When a sample was last requested.
@@ -169,6 +178,7 @@
       : options(settings),
         self(IdOf<instance_id>(settings.instance_name)),
         members(self),
+        lease(settings.serving_lease),
         sessions(settings.session_limit),
         next_loan(settings.process_seed * kLoanIdStride),
         next_ticket(settings.process_seed * kLoanIdStride) {}
@@ -187,6 +197,12 @@
   instant next_gossip{};
   membership members;
   instant members_requested_at{};  ///< `members` is no older than this.
+  /// When the list of members was first read; empty before that.
+  std::optional<instant> members_known_since;
+  serving_lease lease;
+  bool is_serving = false;  ///< The last state of the lease that was logged.
+  instant next_serving_request{};
+  std::size_t next_asked_peer = 0;
   bool store_reachable = false;
   duty_seen duty;
   session_store sessions;
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -183,12 +183,12 @@
   const bool was_open = Open();
   record_ = record;
   record_changed_at_ = now;
-  acknowledged_.clear();
   newer_term_since_.reset();
   // Another instance's write supersedes the step in progress here.
   step_ = step::kIdle;
   if (Term() != old_term || Open()) {
     phase_since_ = now;
+    phase_revision_ = record_.revision;
   }
   if (Term() != old_term) {
     ClearTermState();
@@ -242,6 +242,9 @@
       record_.record.phase == group_phase::kSealed) {
     return false;
   }
+  if (!service_.term_bound && now >= serving_until_) {
+    return false;
+  }
   const auto has_evidence = [&](endpoint_id id) {
     const endpoint_view* const view = View(id);
     return view != nullptr && view->evidence_at.has_value() &&
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -18,6 +18,7 @@
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
 #include "marjoramslip/core/options.h"
+#include "membership.h"
 #include "position_samples.h"
 
 namespace marjoramslip {
@@ -67,11 +68,20 @@
   /// Sets the number of live instances, this one included.
   void SetLiveInstances(std::uint32_t live) { live_instances_ = live; }
   /// Sets the other instances that may act on this group's record: all that
-  /// were listed at `listed_at`, and those delisted shortly before.
-  void SetPeers(std::vector<instance_id> peers, instant listed_at) {
+  /// were listed at `listed_at`, and those delisted shortly before. The list
+  /// has been known since `known_since`.
+  void SetPeers(std::vector<recent_peer> peers, instant listed_at,
+                std::optional<instant> known_since) {
     peers_ = std::move(peers);
     peers_listed_at_ = listed_at;
+    peers_known_since_ = known_since;
   }
+  /// Sets the end of this instance's serving lease.
+  void SetServingUntil(instant until) { serving_until_ = until; }
+  instant ServingUntil() const { return serving_until_; }
+  /// Records that the membership lease of `member` was ended: it renews no
+  /// serving lease from the store until it is listed again.
+  void OnMembershipEnded(instance_id member, instant now);
   /// Sets the fence with which this instance may request promotions from the
   /// platform, or 0 if it doesn't hold the duty. The duty may lapse at `until`.
   void SetDuty(std::uint64_t fence, instant until);
@@ -143,8 +153,9 @@
 
   /// True while this instance holds a permit: evidence no older than
   /// `core_options::permit` that a majority of the witnesses, the primary among
-  /// them if the service is term-bound, is at the term. Guarantees that no
-  /// later term is open.
+  /// them if the service is term-bound, is at the term. Where the platform
+  /// promotes, the serving lease must hold besides. Guarantees that no later
+  /// term is open.
   bool HoldsPermit(instant now) const;
 
   /// True while this instance has to change the set of witnesses: a database
@@ -279,15 +290,19 @@
   bool MayDrive(instant now) const;
   void AdvancePromotion(instant now, effect_list& effects);
   void SendRecord(instant now, effect_list& effects);
-  bool AllAcknowledged() const;
+  /// True if every instance that may act acknowledged `revision`.
+  bool AllAcknowledged(std::uint64_t revision) const;
+  /// True once no other instance releases answers of an earlier term: each has
+  /// acknowledged the sealed record, or its serving lease has expired.
+  bool NoOtherServes(instant now) const;
+  /// Ends the membership leases of the instances that do not acknowledge.
+  void EndSilentMemberships(instant now, effect_list& effects);
   /// Requests the list of instances if the last is older than the phase.
   void RequestMembers(instant now, effect_list& effects);
-  bool FenceWaitOver(instant now) const;
   void ChooseForPromotion(instant now, effect_list& effects);
   void RequestPromotion(instant now, effect_list& effects);
   void RecordPromotion(const endpoint_view& view);
   void OnNewerTermSeen(term_number log_term, instant now);
-  bool OldTermIsOver(instant now) const;
   void OpenPromoted(instant now, effect_list& effects);
   void ResumePromotion(instant now, effect_list& effects);
 
@@ -339,13 +354,20 @@
   std::optional<instant> write_gap_since_;
 
   // Promotion by the platform.
-  std::vector<instance_id> peers_;
+  std::vector<recent_peer> peers_;
   instant peers_listed_at_{};
-  /// When the record's phase was first seen here. An instance that was listed
-  /// later reads the record before it takes part, so it knows the phase.
+  std::optional<instant> peers_known_since_;
+  instant serving_until_{};
+  /// When the record's phase was first seen here, and the record's revision. An
+  /// instance that was listed later reads the record before it takes part, so
+  /// it knows the phase.
   instant phase_since_{};
+  std::uint64_t phase_revision_ = 0;
   instant next_members_read_{};
   std::map<instance_id, std::uint64_t> acknowledged_;
+  instant last_acknowledgement_at_{};
+  std::map<instance_id, instant> memberships_ended_;
+  instant next_membership_end_{};
   std::uint64_t fence_ = 0;
   instant duty_until_{};
   instant next_promotion_{};
--- a/lib/core/group_upkeep.cc
+++ b/lib/core/group_upkeep.cc
@@ -186,12 +186,13 @@
   }
   next_review_ = now + kReviewIntervalWithoutPermit;
   RequestMembers(now, effects);
-  if (AllAcknowledged()) {
+  if (AllAcknowledged(record_.revision)) {
     ReplaceWitness(now, effects);
     return;
   }
-  for (const instance_id peer : peers_) {
-    effects.emplace_back(send_peer_message{peer, record_update{id_, record_}});
+  for (const recent_peer& peer : peers_) {
+    effects.emplace_back(
+        send_peer_message{peer.id, record_update{id_, record_}});
   }
 }
 
--- a/lib/core/groups.cc
+++ b/lib/core/groups.cc
@@ -9,6 +9,7 @@
 #include "apply_catalogue.h"
 #include "connections.h"
 #include "requests.h"
+#include "serving.h"
 
 namespace marjoramslip {
 namespace {
@@ -138,6 +139,17 @@
   RerouteWaitingRequests(core, group);
 }
 
+/// Applies the beginning or end of a time without a serving lease.
+void OnServingPhaseChanged(core_state& core, group_state& group) {
+  group.seen_phase = ServingPhase(core, group);
+  if (group.seen_phase != serving_phase::kServing) {
+    for (const endpoint_id id : group.pool_ids) {
+      RerouteQueued(core, *core.Pool(id), admission_class::kWrite);
+    }
+  }
+  RerouteWaitingRequests(core, group);
+}
+
 /// Advances waiting requests in order until one has to keep waiting.
 template <typename key>
 void AdvanceFirst(core_state& core,
@@ -349,6 +361,9 @@
   if (group.seen_revision != group.terms.Record().revision) {
     OnRecordChanged(core, group);
   }
+  if (group.seen_phase != ServingPhase(core, group)) {
+    OnServingPhaseChanged(core, group);
+  }
   ReleaseWaitingAnswers(core, group);
   AnswerWaitingPeers(core, group);
   AdvanceFirst(core, group.awaiting_sample);
--- a/lib/core/membership.cc
+++ b/lib/core/membership.cc
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr std::size_t kMaxUnlistedPeers = 64;
-// Time for which a delisted instance may still act on its last known state.
-// Longer than any partition from the platform that it survives unreplaced.
+// Time for which a delisted instance counts as one that may still act.
 constexpr duration kDelistedRetention = std::chrono::seconds(10);
 
 }  // namespace
@@ -32,11 +31,11 @@
   }
   for (const auto& [id, entry] : members_) {
     if (id != self_ && !next.contains(id) && !left_.contains(id)) {
-      delisted_.emplace(id, now);
+      delisted_[id] = {entry.lease, now};
     }
   }
   std::erase_if(delisted_, [now](const auto& entry) {
-    return now - entry.second >= kDelistedRetention;
+    return now - entry.second.seen_at >= kDelistedRetention;
   });
   std::erase_if(left_, [&next](instance_id id) { return !next.contains(id); });
   members_ = std::move(next);
@@ -107,17 +106,27 @@
   return peers;
 }
 
-std::vector<instance_id> membership::RecentPeers(instant now) const {
-  std::vector<instance_id> recent;
+std::vector<instance_id> membership::Others() const {
+  std::vector<instance_id> others;
   for (const auto& [id, entry] : members_) {
     if (id != self_ && !left_.contains(id)) {
-      recent.push_back(id);
+      others.push_back(id);
     }
   }
-  recent.insert(recent.end(), unlisted_.begin(), unlisted_.end());
-  for (const auto& [id, since] : delisted_) {
-    if (now - since < kDelistedRetention) {
-      recent.push_back(id);
+  return others;
+}
+
+std::vector<recent_peer> membership::RecentPeers(instant now) const {
+  std::vector<recent_peer> recent;
+  for (const instance_id id : Others()) {
+    recent.push_back({id, members_.at(id).lease, true});
+  }
+  for (const instance_id id : unlisted_) {
+    recent.push_back({id, 0, false});
+  }
+  for (const auto& [id, entry] : delisted_) {
+    if (now - entry.seen_at < kDelistedRetention) {
+      recent.push_back({id, entry.lease, false});
     }
   }
   return recent;
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -23,6 +23,13 @@
 std::uint32_t ShareOf(std::optional<std::uint32_t> seat, std::uint32_t seats,
                       std::uint32_t connections);
 
+/// Another instance that may act on the records of groups.
+struct recent_peer {
+  instance_id id;
+  std::uint64_t lease = 0;  ///< Its last known membership lease; 0 if unknown.
+  bool listed = false;
+};
+
 /// Tracks live instances by the platform's list and the instances' messages.
 class membership {
  public:
@@ -60,10 +67,13 @@
   /// While no list names others, includes those that have sent messages.
   std::vector<instance_id> Peers() const;
 
+  /// Returns the other listed instances that have not left.
+  std::vector<instance_id> Others() const;
+
   /// Returns the other instances that may still act: the listed ones that
   /// haven't left, and those delisted recently without having left. The latter
   /// may be running, partitioned from the platform.
-  std::vector<instance_id> RecentPeers(instant now) const;
+  std::vector<recent_peer> RecentPeers(instant now) const;
 
   /// Returns the names of the listed members; leaving ones are marked.
   std::vector<std::string> Names() const;
@@ -72,8 +82,13 @@
   instance_id self_;
   std::map<instance_id, member> members_;
   std::set<instance_id> unlisted_;  ///< Sent messages; kept until a list comes.
-  /// Instances that vanished from the list, by the time that was seen.
-  std::map<instance_id, instant> delisted_;
+  struct delisted_member {
+    std::uint64_t lease = 0;
+    instant seen_at;  ///< When the list without it was received.
+  };
+
+  /// Instances that vanished from the list without having left.
+  std::map<instance_id, delisted_member> delisted_;
   std::set<instance_id> left_;  ///< Announced leaving, but still listed.
 };
 
--- a/lib/core/peers.cc
+++ b/lib/core/peers.cc
@@ -12,6 +12,7 @@
 #include "evidence_relay.h"
 #include "groups.h"
 #include "lending.h"
+#include "serving.h"
 
 namespace marjoramslip {
 namespace {
@@ -89,6 +90,10 @@
     OnEvidenceUpdate(core_, from_, update);
   }
 
+  void operator()(const serving_status& status) const {
+    OnServingStatus(core_, from_, status);
+  }
+
   void operator()(const leave_notice&) const {
     core_.members.OnLeaveNotice(from_);
     ChooseHomes(core_);
@@ -124,6 +129,7 @@
   core.members.OnMembers(seen.members, core.now);
   core.members_requested_at =
       std::max(core.members_requested_at, seen.requested_at);
+  core.members_known_since = core.members_known_since.value_or(core.now);
   const std::vector<instance_id> after = core.members.Peers();
   for (const instance_id id : before) {
     if (!std::binary_search(after.begin(), after.end(), id)) {
@@ -131,10 +137,21 @@
     }
   }
   UpdateGroupPeers(core);
+  UpdateServingLease(core);
   ChooseHomes(core);
   UpdateShares(core);
 }
 
+void OnMembershipEnded(core_state& core, const membership_ended& ended) {
+  core.Log(log_level::kWarning, "member.lease_ended",
+           "an instance does not acknowledge a sealed record, id " +
+               std::to_string(ended.member.value));
+  for (const auto& [id, group] : core.groups) {
+    group->terms.OnMembershipEnded(ended.member, core.now);
+    core.MarkDirty(*group);
+  }
+}
+
 void OnDutySeen(core_state& core, const duty_seen& duty) {
   if (duty.fence != core.duty.fence) {
     core.Log(log_level::kInfo, duty.fence != 0 ? "duty.taken" : "duty.lost",
@@ -150,7 +167,7 @@
 void UpdateGroupPeers(core_state& core) {
   for (const auto& [id, group] : core.groups) {
     group->terms.SetPeers(core.members.RecentPeers(core.now),
-                          core.members_requested_at);
+                          core.members_requested_at, core.members_known_since);
   }
 }
 
--- a/lib/core/peers.h
+++ b/lib/core/peers.h
@@ -9,6 +9,7 @@
 
 void OnPeerReceived(core_state& core, const peer_received& received);
 void OnDutySeen(core_state& core, const duty_seen& duty);
+void OnMembershipEnded(core_state& core, const membership_ended& ended);
 
 /// Updates the list of instances that may act on each group's record.
 void UpdateGroupPeers(core_state& core);
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -2,11 +2,11 @@
 // statements carry no term: seal the record, wait until every instance has
 // acknowledged it, promote the most advanced replica, open the next term.
 //
-// An instance acknowledges writes and serves primary reads only while a
-// majority of the group has recently answered from the record's term. The
-// promoter therefore opens the next term once every instance that may hold such
-// evidence has acknowledged the sealed record, or once a majority has been in
-// the next term for longer than the evidence is valid.
+// An instance releases answers of a primary only under its serving lease. The
+// promotion is requested once no other instance can release an answer of the
+// old term any more: each one has acknowledged the sealed record, or its
+// membership lease was ended after the seal and its serving lease has expired
+// since. docs/PROOFS.md has the argument.
 
 #include <algorithm>
 #include <string>
@@ -22,10 +22,11 @@
 constexpr duration kCommandInterval = std::chrono::milliseconds(50);
 /// Interval between reads of the list of instances.
 constexpr duration kMembersReadInterval = std::chrono::milliseconds(500);
-/// Longest time that the promotion waits for instances to acknowledge the
-/// sealed record. Those that do not acknowledge it hold no evidence of the old
-/// term once the promotion has taken effect.
+/// Time for a listed instance to acknowledge the sealed record before its
+/// membership lease is ended.
 constexpr duration kAckTimeout = std::chrono::milliseconds(350);
+/// Interval between calls that end the same membership lease.
+constexpr duration kMembershipEndInterval = std::chrono::milliseconds(300);
 /// Additional time for all replicas to report their log positions before a
 /// candidate is chosen from those that have.
 constexpr duration kReplicaReportTimeout = std::chrono::milliseconds(60);
@@ -55,19 +56,68 @@
 void group_terms::OnRecordAck(instance_id from, std::uint64_t revision,
                               instant now, effect_list& effects) {
   std::uint64_t& acknowledged = acknowledged_[from];
+  if (acknowledged < phase_revision_ && revision >= phase_revision_) {
+    last_acknowledgement_at_ = now;
+  }
   acknowledged = std::max(acknowledged, revision);
   AdvanceChange(now, effects);
 }
 
+void group_terms::OnMembershipEnded(instance_id member, instant now) {
+  memberships_ended_[member] = now;
+}
+
 // An instance that was listed after this phase began needs no acknowledgement:
 // it reads the records after it is listed and before it serves.
-bool group_terms::AllAcknowledged() const {
+bool group_terms::AllAcknowledged(std::uint64_t revision) const {
   return peers_listed_at_ >= phase_since_ &&
-         std::all_of(peers_.begin(), peers_.end(), [this](instance_id peer) {
-           const auto entry = acknowledged_.find(peer);
-           return entry != acknowledged_.end() &&
-                  entry->second >= record_.revision;
-         });
+         std::all_of(
+             peers_.begin(), peers_.end(), [&](const recent_peer& peer) {
+               const auto entry = acknowledged_.find(peer.id);
+               return entry != acknowledged_.end() && entry->second >= revision;
+             });
+}
+
+bool group_terms::NoOtherServes(instant now) const {
+  if (peers_listed_at_ < phase_since_ || !peers_known_since_.has_value()) {
+    return false;
+  }
+  // An instance that vanished before this one first read the list is unknown.
+  const instant unknown_expired =
+      *peers_known_since_ + options_.serving_lease_wait;
+  if (AllAcknowledged(phase_revision_)) {
+    return now >= unknown_expired;
+  }
+  // Until it acknowledged, an instance may have confirmed the leases of others.
+  instant last_confirmation = std::max(phase_since_, last_acknowledgement_at_);
+  for (const recent_peer& peer : peers_) {
+    const auto entry = acknowledged_.find(peer.id);
+    if (entry != acknowledged_.end() && entry->second >= phase_revision_) {
+      continue;
+    }
+    const auto ended = memberships_ended_.find(peer.id);
+    if (ended == memberships_ended_.end() || ended->second < phase_since_) {
+      return false;
+    }
+    last_confirmation = std::max(last_confirmation, ended->second);
+  }
+  return now >= std::max(unknown_expired,
+                         last_confirmation + options_.serving_lease_wait);
+}
+
+void group_terms::EndSilentMemberships(instant now, effect_list& effects) {
+  if (now < next_membership_end_ || peers_listed_at_ < phase_since_) {
+    return;
+  }
+  for (const recent_peer& peer : peers_) {
+    const auto ended = memberships_ended_.find(peer.id);
+    const bool in_time = peer.listed && now - phase_since_ < kAckTimeout;
+    if (acknowledged_[peer.id] < phase_revision_ && !in_time &&
+        (ended == memberships_ended_.end() || ended->second < phase_since_)) {
+      effects.emplace_back(end_membership{peer.id, peer.lease});
+      next_membership_end_ = now + kMembershipEndInterval;
+    }
+  }
 }
 
 void group_terms::RequestMembers(instant now, effect_list& effects) {
@@ -77,20 +127,17 @@
   }
 }
 
-bool group_terms::FenceWaitOver(instant now) const {
-  return AllAcknowledged() || now - step_since_ >= kAckTimeout;
-}
-
 void group_terms::SendRecord(instant now, effect_list& effects) {
   RequestMembers(now, effects);
+  EndSilentMemberships(now, effects);
   if (now < next_send_) {
     return;
   }
   next_send_ = now + kCommandInterval;
-  for (const instance_id peer : peers_) {
-    if (acknowledged_[peer] < record_.revision) {
+  for (const recent_peer& peer : peers_) {
+    if (acknowledged_[peer.id] < record_.revision) {
       effects.emplace_back(
-          send_peer_message{peer, record_update{id_, record_}});
+          send_peer_message{peer.id, record_update{id_, record_}});
     }
   }
   if (View(Primary()) != nullptr && record_.record.candidate != Primary()) {
@@ -112,7 +159,7 @@
 }
 
 void group_terms::ChooseForPromotion(instant now, effect_list& effects) {
-  if (!FenceWaitOver(now)) {
+  if (!NoOtherServes(now)) {
     return;
   }
   endpoint_id best;
@@ -152,14 +199,16 @@
   next.candidate_point = best_rank.second;
   Log(effects, log_level::kInfo, "group.candidate",
       "received up to " + FormatLogPoint(best_rank.second) +
-          (AllAcknowledged() ? ", all instances hold the sealed record"
-                             : ", not all instances answer"),
+          (AllAcknowledged(phase_revision_)
+               ? ", all instances hold the sealed record"
+               : ", the leases of silent instances have expired"),
       best);
   StartRecordWrite(std::move(next), step::kChoosing, now, effects);
 }
 
 void group_terms::RequestPromotion(instant now, effect_list& effects) {
-  if (promoted_ || now < next_promotion_ || !MayDrive(now)) {
+  if (promoted_ || now < next_promotion_ || !MayDrive(now) ||
+      !NoOtherServes(now)) {
     return;
   }
   const endpoint_view* const view = View(record_.record.candidate);
@@ -191,7 +240,6 @@
   }
   promoted_ = true;
   promoted_fork_ = {state.term, LogTerm(), state.received_point.position};
-  majority_moved_.reset();
 }
 
 /// Reacts to an endpoint's log in a later term than that of the open record: a
@@ -208,25 +256,8 @@
   }
 }
 
-bool group_terms::OldTermIsOver(instant now) const {
-  return AllAcknowledged() || (majority_moved_.has_value() &&
-                               now - *majority_moved_ >= options_.permit_wait);
-}
-
 void group_terms::OpenPromoted(instant now, effect_list& effects) {
-  if (!promoted_) {
-    return;
-  }
-  std::size_t in_new_term = 0;
-  for (const endpoint_id id : record_.record.witnesses) {
-    const endpoint_view* const view = View(id);
-    in_new_term +=
-        view != nullptr && view->state.log_term >= promoted_fork_.term ? 1 : 0;
-  }
-  if (in_new_term >= Majority() && !majority_moved_.has_value()) {
-    majority_moved_ = now;
-  }
-  if (!OldTermIsOver(now)) {
+  if (!promoted_ || !NoOtherServes(now)) {
     return;
   }
   group_record next = record_.record;
--- a/lib/core/reads.cc
+++ b/lib/core/reads.cc
@@ -7,6 +7,7 @@
 #include "connections.h"
 #include "marjoramslip/core/sqlstates.h"
 #include "requests.h"
+#include "serving.h"
 
 namespace marjoramslip {
 namespace {
@@ -121,6 +122,11 @@
                            !request.settings.token.has_value();
   if (since.has_value()) {
     const auto sample = group.terms.SampleSince(*since, core.now);
+    if (!sample.has_value() &&
+        ServingPhase(core, group) == serving_phase::kSuspended) {
+      RefuseWithoutLease(core, request);
+      return false;
+    }
     if (!sample.has_value()) {
       request.sample_since = *since;
       MoveTo(core, request, request_stage::kAwaitingSample);
--- a/lib/core/reducer.cc
+++ b/lib/core/reducer.cc
@@ -16,6 +16,7 @@
 #include "peers.h"
 #include "report.h"
 #include "requests.h"
+#include "serving.h"
 
 namespace marjoramslip {
 namespace {
@@ -87,6 +88,13 @@
     ResumeEarlyStatements(core);
   }
   void operator()(const members_seen& e) const { OnMembersSeen(core, e); }
+  void operator()(const membership_renewed& e) const {
+    OnMembershipRenewed(core, e);
+  }
+  void operator()(const records_read& e) const { OnRecordsRead(core, e); }
+  void operator()(const membership_ended& e) const {
+    OnMembershipEnded(core, e);
+  }
   void operator()(const duty_seen& e) const { OnDutySeen(core, e); }
   void operator()(const store_reachability& e) const {
     OnServiceReachable(core, e);
@@ -103,6 +111,7 @@
     while (const auto owner = core.timers.PopDue(core.now)) {
       RunTimer(core, *owner);
     }
+    MaintainServingLease(core);
     Gossip(core);
   }
 };
--- a/lib/core/writes.cc
+++ b/lib/core/writes.cc
@@ -5,16 +5,21 @@
 #include "connections.h"
 #include "reads.h"
 #include "requests.h"
+#include "serving.h"
 
 namespace marjoramslip {
 
 bool MayWriteTo(core_state& core, const group_state& group,
                 endpoint_id endpoint) {
   return group.terms.AcceptsWrites() && group.terms.Primary() == endpoint &&
+         ServingPhase(core, group) == serving_phase::kServing &&
          AcceptsRequests(core, endpoint);
 }
 
 void AdvanceWrite(core_state& core, request_state& request) {
+  if (HoldOrRefuseWithoutLease(core, request)) {
+    return;
+  }
   const group_state& group = *core.Group(request.group);
   const endpoint_id primary = group.terms.Primary();
   if (!MayWriteTo(core, group, primary)) {
--- a/lib/kv/etcd_messages.cc
+++ b/lib/kv/etcd_messages.cc
@@ -94,6 +94,7 @@
   parsed.value = GetBytes(from, "value");
   parsed.create_revision = GetNumber<Poco::UInt64>(from, "create_revision");
   parsed.mod_revision = GetNumber<Poco::UInt64>(from, "mod_revision");
+  parsed.lease = GetNumber<Poco::UInt64>(from, "lease");
   return parsed;
 }
 
--- a/lib/kv/memory_store.cc
+++ b/lib/kv/memory_store.cc
@@ -148,7 +148,7 @@
 void memory_store::Apply(const mutation& write) {
   if (write.erase) {
     if (entries_.erase(write.key) != 0) {
-      Publish({{write.key, "", 0, revision_}, true});
+      Publish({{write.key, "", 0, revision_, 0}, true});
     }
     return;
   }
@@ -161,6 +161,7 @@
     value.create_revision = revision_;
   }
   target.lease = write.lease;
+  value.lease = write.lease;
   Publish({value, false});
 }
 
--- a/lib/peer/peer_codec.cc
+++ b/lib/peer/peer_codec.cc
@@ -73,6 +73,23 @@
       entry.set_age(known.age.count());
     }
   }
+  void operator()(const serving_status& value) {
+    proto::ServingStatus& to = *out_.mutable_serving_status();
+    to.set_sequence(value.sequence);
+    to.set_reply_requested(value.reply_requested);
+    to.set_informed(value.informed);
+    to.set_store_lease(value.store_lease.count());
+    for (const serving_echo& echo : value.echoes) {
+      proto::ServingEcho& entry = *to.add_echoes();
+      entry.set_peer(echo.peer.value);
+      entry.set_sequence(echo.sequence);
+    }
+    for (const record_revision& record : value.records) {
+      proto::RecordRevision& entry = *to.add_records();
+      entry.set_group(record.group.value);
+      entry.set_revision(record.revision);
+    }
+  }
 
  private:
   template <typename from, typename to>
@@ -144,6 +161,24 @@
   return peer_message(std::move(out));
 }
 
+result<peer_message> ReadServingStatus(const proto::ServingStatus& in) {
+  if (in.store_lease() < 0) {
+    return Fail(error_kind::kInvalid, "lease with a negative duration");
+  }
+  serving_status out;
+  out.sequence = in.sequence();
+  out.reply_requested = in.reply_requested();
+  out.informed = in.informed();
+  out.store_lease = duration(in.store_lease());
+  for (const proto::ServingEcho& entry : in.echoes()) {
+    out.echoes.push_back({{entry.peer()}, entry.sequence()});
+  }
+  for (const proto::RecordRevision& entry : in.records()) {
+    out.records.push_back({{entry.group()}, entry.revision()});
+  }
+  return peer_message(std::move(out));
+}
+
 result<peer_message> ReadMessage(const proto::Envelope& in) {
   switch (in.message_case()) {
     case proto::Envelope::kSuspicionReport:
@@ -172,6 +207,8 @@
                                            in.evidence_request().ticket()});
     case proto::Envelope::kEvidenceUpdate:
       return ReadEvidence(in.evidence_update());
+    case proto::Envelope::kServingStatus:
+      return ReadServingStatus(in.serving_status());
     case proto::Envelope::MESSAGE_NOT_SET:
       break;
   }
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -110,6 +110,10 @@
   parts_.platform.ReadMembers();
 }
 
+void runtime::CarryOut(const end_membership& what) {
+  parts_.platform.EndMembership(what);
+}
+
 void runtime::CarryOut(const send_peer_message& what) {
   parts_.peers.Send(what.recipient, what.message);
 }
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -72,6 +72,7 @@
   void CarryOut(const write_record& what);
   void CarryOut(const read_record& what);
   void CarryOut(const read_members& what);
+  void CarryOut(const end_membership& what);
   void CarryOut(const send_peer_message& what);
   void CarryOut(const log_line& what);
   void CarryOut(const request_finished& what);
--- a/unittests/coordination/platform_link_fixture.h
+++ b/unittests/coordination/platform_link_fixture.h
@@ -73,6 +73,15 @@
         .has_value();
   }
 
+  /// Waits until all keys were read again after the announcement. Returns false
+  /// after 5 s.
+  bool AwaitReload() {
+    for (int i = 0; i < 500 && loop.Count<records_read>() < 2; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return loop.Count<records_read>() >= 2;
+  }
+
   /// Waits until `count` seats are held. Returns false after 5 s.
   bool AwaitSeats(std::size_t count) {
     const std::string all = kv::key_space(kPrefix).Seats();
--- a/unittests/coordination/platform_link_test.cc
+++ b/unittests/coordination/platform_link_test.cc
@@ -168,6 +168,7 @@
   }));
   SECTION(
       "the catalogue is read again, for what was agreed before it was listed") {
+    REQUIRE(s.AwaitReload());
     EXPECT(s.loop.Count<catalogue_seen>() >= 2);
   }
   SECTION("a later read of the members has a later request time") {
@@ -223,6 +224,8 @@
 Test(platform_link, members_are_added_and_removed) {
   platform_link_fixture s;
   REQUIRE(s.AwaitMembers(1));
+  // A list read while the leases expire may show one of them back already.
+  REQUIRE(s.AwaitReload());
   recording_loop other_loop;
   instance_settings other = s.settings;
   other.name = "i-2";
--- a/unittests/core/harness.h
+++ b/unittests/core/harness.h
@@ -42,6 +42,7 @@
     record.witnesses = {Id("a"), Id("b"), Id("c")};
     stored_record_ = {record, 1};
     ApplyEvent(record_seen{Group(), stored_record_});
+    ApplyEvent(records_read{now_});
     AdvanceTime(std::chrono::milliseconds(50));
     ApplyEvent(caller_opened{caller_id{1}, "ledger", "tenant"});
   }
@@ -93,6 +94,7 @@
     const instant end = now_ + length;
     while (now_ < end) {
       now_ += std::chrono::milliseconds(5);
+      RenewMembership();
       ApplyEvent(tick{});
     }
   }
@@ -108,6 +110,7 @@
       ApplyEvent(probe_answered{Id(endpoint), now_, State(endpoint)});
       if (now_ >= next_tick) {
         next_tick = now_ + kTickInterval;
+        RenewMembership();
         ApplyEvent(tick{});
       }
     }
@@ -172,11 +175,13 @@
   };
   std::vector<promote_endpoint> promotions;
   std::vector<move_endpoint> moves;
+  std::vector<end_membership> membership_ends;
   std::vector<log_line> log_lines;
   std::vector<group_record> written_records;
   /// False if reads and writes of records are left unanswered.
   bool record_store_available = true;
   bool members_available = true;  ///< False if reads of the instance list fail.
+  bool lease_store_available = true;  ///< False if leases are left unanswered.
   const send_statement& Statement(request_id request) const {
     return sent_statements_.at(request);
   }
@@ -200,6 +205,14 @@
     return options;
   }
 
+  /// Renews the membership lease, as the shell does every 300 ms.
+  void RenewMembership() {
+    if (lease_store_available && now_ >= next_renewal_) {
+      next_renewal_ = now_ + std::chrono::milliseconds(300);
+      ApplyEvent(membership_renewed{now_, instant{}});
+    }
+  }
+
   /// Returns the part of a state that an answer reports. If the platform
   /// promotes, that is only the last log entry.
   endpoint_state ReportedState(endpoint_state state) const {
@@ -260,6 +273,11 @@
         members_.requested_at = now_;
         ApplyEvent(members_);
       }
+    } else if (auto* end = std::get_if<end_membership>(&emitted)) {
+      membership_ends.push_back(*end);
+      if (lease_store_available) {
+        ApplyEvent(membership_ended{end->member});
+      }
     } else if (std::holds_alternative<read_record>(emitted)) {
       ++record_reads;
       if (record_store_available) {
@@ -275,6 +293,7 @@
   versioned_record stored_record_;
   members_seen members_;
   instant now_{std::chrono::seconds(1)};
+  instant next_renewal_{};
   std::map<endpoint_id, endpoint_state> states_;
   std::map<connection_id, endpoint_id> connection_endpoints_;
   std::map<request_id, send_statement> sent_statements_;
--- a/unittests/peer/peer_codec_test.cc
+++ b/unittests/peer/peer_codec_test.cc
@@ -144,6 +144,12 @@
             loan_return{{id}, count, number},
             evidence_request{{id}, number},
             evidence,
+            serving_status{number,
+                           count % 2 == 0,
+                           count % 3 == 0,
+                           RandomDuration(),
+                           {{{id}, number}},
+                           {{{number}, id}}},
             leave_notice{}};
         for (const peer_message& message : messages) {
           const std::string bytes = Encode({{id}, message});
@@ -158,6 +164,18 @@
             RC_ASSERT(got->endpoints[1].state == known.state);
             RC_ASSERT(got->endpoints[1].age == known.age);
           }
+          if (const auto* got = std::get_if<serving_status>(&out.message)) {
+            const auto& sent = std::get<serving_status>(message);
+            RC_ASSERT(got->sequence == number && got->echoes.size() == 1U);
+            RC_ASSERT(got->reply_requested == sent.reply_requested &&
+                      got->informed == sent.informed &&
+                      got->store_lease == sent.store_lease);
+            RC_ASSERT(got->echoes[0].peer.value == id &&
+                      got->echoes[0].sequence == number);
+            RC_ASSERT(got->records.size() == 1U &&
+                      got->records[0].group.value == number &&
+                      got->records[0].revision == id);
+          }
           if (const auto* got = std::get_if<loan_grant>(&out.message)) {
             RC_ASSERT(got->endpoint == grant.endpoint &&
                       got->loan_id == grant.loan_id);
@@ -200,6 +218,11 @@
     relayed.mutable_evidence_update()->mutable_endpoints(0)->set_age(-1);
     EXPECT(!Decodes(relayed.SerializeAsString(), out));
   }
+  SECTION("a lease that ended before it was sent") {
+    proto::Envelope status;
+    status.mutable_serving_status()->set_store_lease(-1);
+    EXPECT(!Decodes(status.SerializeAsString(), out));
+  }
   SECTION("missing or duplicate names") {
     in.mutable_catalogue_news()->clear_services();
     in.mutable_catalogue_news()->add_services()->set_name("s");
