--- a/include/marjoramslip/core/options.h
+++ b/include/marjoramslip/core/options.h
@@ -27,11 +27,17 @@
   duration permit_wait = std::chrono::milliseconds(330);
   /// How long an instance may release answers of primaries after it requested
   /// the newest confirmation of its serving lease.
-  duration serving_lease = std::chrono::milliseconds(1000);
+  duration serving_lease = std::chrono::milliseconds(1500);
   /// How long a promoter waits for another instance's serving lease to expire:
   /// `serving_lease` plus an allowance for clock drift and for the time between
   /// the last check of the lease and the sending of the answer.
-  duration serving_lease_wait = std::chrono::milliseconds(1200);
+  duration serving_lease_wait = std::chrono::milliseconds(1750);
+  /// How long after its last lease from the store an instance may still renew
+  /// its serving lease through a majority of the instances.
+  duration majority_lease_limit = std::chrono::milliseconds(8000);
+  /// How long a promoter waits for other instances' serving leases to expire if
+  /// those that do not acknowledge may be a majority.
+  duration majority_lease_wait = std::chrono::milliseconds(8400);
   /// Time between probes of an endpoint without other traffic.
   duration probe_interval = std::chrono::milliseconds(100);
   /// Time between probes while a request waits for a position.
--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -21,9 +21,9 @@
 constexpr duration kRetryPause = std::chrono::milliseconds(200);
 /// Number of renewals within the duration of a lease.
 constexpr int kRenewalsPerLease = 3;
-/// Interval between renewals where the serving lease depends on them. Two of
+/// Interval between renewals where the serving lease depends on them. One of
 /// them may fail before it expires.
-constexpr duration kServingRenewalInterval = std::chrono::milliseconds(300);
+constexpr duration kServingRenewalInterval = std::chrono::milliseconds(600);
 /// Number of conflicting claims that are attributed to other instances' claims
 /// of the same seat.
 constexpr std::uint32_t kConflictsWithoutEntry = 2;
--- a/lib/core/core_state.h
+++ b/lib/core/core_state.h
@@ -178,7 +178,7 @@
       : options(settings),
         self(IdOf<instance_id>(settings.instance_name)),
         members(self),
-        lease(settings.serving_lease),
+        lease(options),
         sessions(settings.session_limit),
         next_loan(settings.process_seed * kLoanIdStride),
         next_ticket(settings.process_seed * kLoanIdStride) {}
--- a/lib/core/membership.cc
+++ b/lib/core/membership.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t kMaxUnlistedPeers = 64;
-// Time for which a delisted instance counts as one that may still act.
+// Time for which a delisted instance counts as one that may still act. Longer
+// than `core_options::majority_lease_wait`.
 constexpr duration kDelistedRetention = std::chrono::seconds(10);
 
 }  // namespace
@@ -28,6 +29,7 @@
   for (const member& entry : members) {
     next.emplace(entry.id, entry);
     delisted_.erase(entry.id);
+    listed_since_.try_emplace(entry.id, now);
   }
   for (const auto& [id, entry] : members_) {
     if (id != self_ && !next.contains(id) && !left_.contains(id)) {
@@ -37,6 +39,9 @@
   std::erase_if(delisted_, [now](const auto& entry) {
     return now - entry.second.seen_at >= kDelistedRetention;
   });
+  std::erase_if(listed_since_, [&](const auto& entry) {
+    return !next.contains(entry.first) && !delisted_.contains(entry.first);
+  });
   std::erase_if(left_, [&next](instance_id id) { return !next.contains(id); });
   members_ = std::move(next);
   unlisted_.clear();
@@ -119,14 +124,16 @@
 std::vector<recent_peer> membership::RecentPeers(instant now) const {
   std::vector<recent_peer> recent;
   for (const instance_id id : Others()) {
-    recent.push_back({id, members_.at(id).lease, true});
+    const bool established = now - listed_since_.at(id) >= kDelistedRetention;
+    recent.push_back({id, members_.at(id).lease, true, established});
   }
   for (const instance_id id : unlisted_) {
-    recent.push_back({id, 0, false});
+    recent.push_back({id, 0, false, false});
   }
   for (const auto& [id, entry] : delisted_) {
     if (now - entry.seen_at < kDelistedRetention) {
-      recent.push_back({id, entry.lease, false});
+      const bool established = now - listed_since_.at(id) >= kDelistedRetention;
+      recent.push_back({id, entry.lease, false, established});
     }
   }
   return recent;
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -28,6 +28,9 @@
   instance_id id;
   std::uint64_t lease = 0;  ///< Its last known membership lease; 0 if unknown.
   bool listed = false;
+  /// It has been listed for so long that every instance that may still renew
+  /// its lease through a majority knows it.
+  bool established = false;
 };
 
 /// Tracks live instances by the platform's list and the instances' messages.
@@ -90,6 +93,8 @@
   /// Instances that vanished from the list without having left.
   std::map<instance_id, delisted_member> delisted_;
   std::set<instance_id> left_;  ///< Announced leaving, but still listed.
+  /// When each listed or recently delisted instance was first listed.
+  std::map<instance_id, instant> listed_since_;
 };
 
 }  // namespace marjoramslip
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -88,6 +88,9 @@
   if (AllAcknowledged(phase_revision_)) {
     return now >= unknown_expired;
   }
+  const duration wait = MajorityAcknowledged(now)
+                            ? options_.serving_lease_wait
+                            : options_.majority_lease_wait;
   // Until it acknowledged, an instance may have confirmed the leases of others.
   instant last_confirmation = std::max(phase_since_, last_acknowledgement_at_);
   for (const recent_peer& peer : peers_) {
@@ -101,8 +104,20 @@
     }
     last_confirmation = std::max(last_confirmation, ended->second);
   }
-  return now >= std::max(unknown_expired,
-                         last_confirmation + options_.serving_lease_wait);
+  return now >= std::max(unknown_expired, last_confirmation + wait);
+}
+
+bool group_terms::MajorityAcknowledged(instant now) const {
+  const bool knows_all =
+      now - *peers_known_since_ >= options_.majority_lease_wait;
+  std::size_t acknowledged = 1;  // Counts this instance.
+  for (const recent_peer& peer : peers_) {
+    const auto entry = acknowledged_.find(peer.id);
+    const bool counts = peer.established && entry != acknowledged_.end() &&
+                        entry->second >= phase_revision_;
+    acknowledged += counts ? 1 : 0;
+  }
+  return knows_all && acknowledged * 2 > peers_.size() + 1;
 }
 
 void group_terms::EndSilentMemberships(instant now, effect_list& effects) {
--- a/lib/core/serving.cc
+++ b/lib/core/serving.cc
@@ -13,9 +13,9 @@
 
 /// Remaining time of the lease from the store below which single peers are
 /// asked, and below which all instances exchange their status. Renewals are
-/// 300 ms apart.
-constexpr duration kAskBelow = std::chrono::milliseconds(600);
-constexpr duration kAskAllBelow = std::chrono::milliseconds(500);
+/// 600 ms apart.
+constexpr duration kAskBelow = std::chrono::milliseconds(750);
+constexpr duration kAskAllBelow = std::chrono::milliseconds(550);
 /// Interval between requests to peers.
 constexpr duration kAskInterval = std::chrono::milliseconds(200);
 /// Number of peers that are asked at a time.
--- a/lib/core/serving_lease.cc
+++ b/lib/core/serving_lease.cc
@@ -1,8 +1,9 @@
-// Computes the serving lease from its three sources.
+// Computes the serving lease from its sources.
 
 #include "serving_lease.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace marjoramslip {
 namespace {
@@ -17,7 +18,7 @@
   renewed_at_ = std::max(renewed_at_, requested_at);
   announced_at_ = announced_at;
   if (records_read_at_ >= announced_at_) {
-    store_until_ = std::max(store_until_, renewed_at_ + length_);
+    store_until_ = std::max(store_until_, renewed_at_ + options_.serving_lease);
   }
 }
 
@@ -70,28 +71,45 @@
   if (Informed() && status.store_lease > duration::zero()) {
     // A lease longer than any is malformed.
     peer_until_ = std::max(
-        peer_until_, *requested_at + std::min(status.store_lease, length_));
+        peer_until_,
+        *requested_at + std::min(status.store_lease, options_.serving_lease));
   }
 }
 
-instant serving_lease::Until(std::span<const instance_id> others) const {
-  const instant single = std::max(store_until_, peer_until_);
-  if (!Informed() || others.empty()) {
-    return single;
-  }
-  instant oldest = instant::max();
-  std::size_t informed = 1;  // Counts this instance.
+instant serving_lease::ConfirmedUntil(
+    std::span<const instance_id> others) const {
+  std::vector<instant> all;
+  std::vector<instant> informed;
   for (const instance_id other : others) {
     const auto found = confirmed_.find(other);
     if (found == confirmed_.end()) {
-      return single;
+      continue;
     }
-    oldest = std::min(oldest, found->second.requested_at);
-    informed += found->second.informed ? 1 : 0;
+    all.push_back(found->second.requested_at);
+    if (found->second.informed) {
+      informed.push_back(found->second.requested_at);
+    }
+  }
+  // Together with this instance they are more than half of all.
+  const std::size_t needed = (others.size() + 1) / 2;
+  // One that restarted does not know what was agreed before.
+  if (others.empty() || informed.size() < needed) {
+    return {};
   }
-  // One that restarted during the outage does not know what was agreed before.
-  const bool majority_informed = informed * 2 > others.size() + 1;
-  return majority_informed ? std::max(single, oldest + length_) : single;
+  std::ranges::sort(informed, std::greater());
+  const instant last_renewal = store_until_ - options_.serving_lease;
+  const instant by_majority =
+      std::min(informed[needed - 1] + options_.serving_lease,
+               last_renewal + options_.majority_lease_limit);
+  if (all.size() < others.size()) {
+    return by_majority;
+  }
+  return std::max(by_majority, std::ranges::min(all) + options_.serving_lease);
+}
+
+instant serving_lease::Until(std::span<const instance_id> others) const {
+  const instant single = std::max(store_until_, peer_until_);
+  return Informed() ? std::max(single, ConfirmedUntil(others)) : single;
 }
 
 }  // namespace marjoramslip
--- a/lib/core/serving_lease.h
+++ b/lib/core/serving_lease.h
@@ -12,23 +12,26 @@
 
 #include "marjoramslip/base/ids.h"
 #include "marjoramslip/base/time.h"
+#include "marjoramslip/core/options.h"
 #include "marjoramslip/core/peer_messages.h"
 
 namespace marjoramslip {
 
 /// The serving lease of one instance, where the platform promotes. Without it
-/// the instance releases no answer of a primary. It comes from one of three
+/// the instance releases no answer of a primary. It comes from one of four
 /// sources, and each counts from when the request was sent:
 ///
 ///  * the store: the membership lease was renewed. A promoter ends that lease
 ///    before it promotes, unless the instance acknowledged the sealed record.
 ///  * a peer that has a lease from the store, for no longer than that one.
-///  * all peers together, if none of them has a newer record of any group. This
-///    serves while the store is down, when nobody can seal a record.
+///  * a majority of the instances, none of which has a newer record of any
+///    group, for a limited time after the last lease from the store.
+///  * all instances together, without that limit. This serves while the store
+///  is
+///    down, when nobody can seal a record.
 class serving_lease {
  public:
-  /// A lease lasts for `length` from when its confirmation was requested.
-  explicit serving_lease(duration length) : length_(length) {}
+  explicit serving_lease(const core_options& options) : options_(options) {}
 
   /// Handles a renewal of the membership lease requested at `requested_at`.
   /// The announcement under that lease was in the store at `announced_at`.
@@ -71,7 +74,10 @@
 
   std::optional<instant> SentAt(std::uint64_t sequence) const;
 
-  duration length_;
+  /// Returns the end of the lease that confirmations of `others` give.
+  instant ConfirmedUntil(std::span<const instance_id> others) const;
+
+  const core_options& options_;
   instant records_read_at_{};
   /// A renewal that came before the records were read.
   instant renewed_at_{};
--- a/tools/standin/main.cc
+++ b/tools/standin/main.cc
@@ -116,6 +116,7 @@
   int lag_ms = 20;
   int delivery_ms = 2;
   int promotion_ms = 300;
+  int follow_ms = 0;
   const poptOption table[] = {
       {"service", 0, POPT_ARG_STRING, static_cast<void*>(&service), 0, "name",
        ""},
@@ -129,6 +130,8 @@
       {"delivery-ms", 0, POPT_ARG_INT, &delivery_ms, 0,
        "until replicas have received a commit", ""},
       {"promotion-ms", 0, POPT_ARG_INT, &promotion_ms, 0, "of a promotion", ""},
+      {"follow-ms", 0, POPT_ARG_INT, &follow_ms, 0,
+       "from a promotion to when replicas follow it", ""},
       POPT_AUTOHELP POPT_TABLEEND};
   if (!ReadOptions(argc, argv, table)) {
     return kUsageExit;
@@ -140,6 +143,7 @@
   options.group.lag = std::chrono::milliseconds(lag_ms);
   options.group.delivery = std::chrono::milliseconds(delivery_ms);
   options.group.promotion = std::chrono::milliseconds(promotion_ms);
+  options.group.follow = std::chrono::milliseconds(follow_ms);
   options.database.service = service;
   options.database.slots = slots;
   options.database.connections = connections;
--- a/tools/standin/platform/line_group.h
+++ b/tools/standin/platform/line_group.h
@@ -47,6 +47,8 @@
   std::chrono::milliseconds lag{20};      ///< From a commit to a replica's use.
   std::chrono::milliseconds delivery{2};  ///< From a commit to its receipt.
   std::chrono::milliseconds promotion{300};
+  /// From a promotion to when the other replicas follow the new primary.
+  std::chrono::milliseconds follow{0};
 };
 
 /// Time passes for a group when it is asked for something. Safe for use by
--- a/unittests/core/replica_reads_test.cc
+++ b/unittests/core/replica_reads_test.cc
@@ -265,10 +265,13 @@
 
 Test(replica_reads, reads_of_a_stated_age_go_on_during_a_change) {
   promoted_world world;
-  const request_id warmup = world.SendStatement(statement_kind::kWrite);
-  world.AnswerStatement(warmup);
-  REQUIRE(world.IsReleased(warmup));
   world.HoldDuty();
+  // The second answer comes under a permit, which confirms its position.
+  for (int i = 0; i < 2; ++i) {
+    const request_id warmup = world.SendStatement(statement_kind::kWrite);
+    world.AnswerStatement(warmup);
+    REQUIRE(world.IsReleased(warmup));
+  }
   world.MakePrimaryUnreachable();
   REQUIRE(world.HasWrittenRecord(group_phase::kSealed));
   const request_id read = world.SendStatement(statement_kind::kRead);
