--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -268,6 +268,37 @@
     expect(write(cluster.instances[0], 1) == "accepted", "others are disturbed")
 
 
+def odd_registry_entry(cluster):
+    """An entry of another writer among those of the databases harms nothing."""
+    entry = ('{"service":"ledger","addr":"%s","zone":"east","version":"v1",'
+             '"slots":%s,"state":"ready","coldLeftMs":0,"dbRole":"replica",'
+             '"seq":1,"born":%s%s}')
+    deep = "[" * 100_000 + "]" * 100_000
+    odd = [entry % ("no-such-host.invalid:80", 3, 7, ""),
+           entry % ("127.0.0.1:65536", 3, 7, ""),
+           entry % ("127.0.0.1:18446744073709551696", 3, 7, ""),
+           entry % ("127.0.0.1:80", "1e999", 7, ""),
+           entry % ("127.0.0.1:80", "9" * 100_000, 7, ""),
+           entry % ("127.0.0.1:80", 3, 18446744073709551616, ""),
+           entry % ("127.0.0.1:80", 3, 7, ',"more":' + deep),
+           deep, "", "\u0000", '{"service":["ledger"]}']
+    verdicts = {}
+    for number, text in enumerate(odd):
+        cluster.platform.order(put={"key": f"servers/odd-{number}",
+                                    "value": text})
+        began = time.monotonic()
+        verdicts |= write_until_accepted(cluster, len(verdicts), 2)
+        expect(time.monotonic() - began < 1.0, f"entry {number} slowed writes")
+    old = cluster.platform.crash_primary()
+    verdicts |= write_until_accepted(cluster, len(verdicts), 2)
+    expect(replaced(cluster, old), "no other primary")
+    follows_configuration(cluster)
+    expect(all(each.running() for each in cluster.instances), "one ended")
+    expect(set(verdicts.values()) <= {"accepted", "refused"},
+           f"verdicts {verdicts}")
+    judge(cluster, verdicts)
+
+
 def resident_mb(process):
     """Resident memory of a process."""
     for line in open(f"/proc/{process.pid}/status", encoding="ascii"):
@@ -303,7 +334,7 @@
 
 SCENARIOS = [sessions, session_state, transactions, primary_crashes,
              primary_dark, store_out, configuration_changes, primary_replaced,
-             shutdown, bad_input, client_that_never_reads]
+             shutdown, bad_input, odd_registry_entry, client_that_never_reads]
 
 
 def run(scenario, build):
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -170,6 +170,10 @@
   if (const json_object config = ObjectMember(order, "config")) {
     store_.Put("op/config", JsonText(*config));
   }
+  // An entry of another writer: any key, any bytes.
+  if (const json_object put = ObjectMember(order, "put")) {
+    store_.Put(TextMember(put, "key"), TextMember(put, "value"));
+  }
   if (const std::string id = TextMember(order, "database"); !id.empty()) {
     line_server* const target = Find(id);
     if (target == nullptr) {
--- a/unittests/platform/documents_test.cc
+++ b/unittests/platform/documents_test.cc
@@ -196,6 +196,64 @@
   }
 }
 
+// Guards against entries of another writer that end the process or keep it from
+// following the registry.
+Test(registry_documents, odd_entries_are_rejected) {
+  const auto decoder = MakeRegistryDecoder();
+  const auto parse = [&](const std::string& text) {
+    return Attempt(
+        [&] { return decoder->ParseEndpoint("servers/i-7f3a", text); });
+  };
+  const auto entry = [](const std::string& address, const std::string& slots,
+                        const std::string& born, const std::string& more) {
+    return R"({"service":"huvo","addr":")" + address +
+           R"(","zone":"caerdydd","state":"ready","slots":)" + slots +
+           R"(,"born":)" + born + more + "}";
+  };
+  REQUIRE(static_cast<bool>(parse(entry("10.0.0.9:80", "3", "17", ""))));
+  SECTION("numbers that no type of a field holds") {
+    for (const char* number :
+         {"1e999", "-1e999", "99999999999999999999999999", "1e30", "-0",
+          "18446744073709551616", "-9223372036854775809", "0x10", "NaN",
+          "Infinity", "1e", "00", "1.7976931348623159e308"}) {
+      cr_expect(!parse(entry("10.0.0.9:80", number, "17", "")), "%s", number);
+      cr_expect(!parse(entry("10.0.0.9:80", "3", number, "")), "%s", number);
+      // A field that is not used may hold anything.
+      (void)parse(
+          entry("10.0.0.9:80", "3", "17", R"(,"seq":)" + std::string(number)));
+    }
+    const std::string digits(100000, '9');
+    EXPECT(!parse(entry("10.0.0.9:80", digits, "17", "")));
+    (void)parse(entry("10.0.0.9:80", "3", "17", R"(,"seq":)" + digits));
+  }
+  SECTION("ports out of range, and hosts that are no address") {
+    for (const char* address :
+         {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:4294967376",
+          "10.0.0.9:18446744073709551696", "10.0.0.9:-80", "10.0.0.9:+80",
+          "10.0.0.9: 80", "10.0.0.9:80 ", "10.0.0.9:", "10.0.0.9",
+          "no-such-host:80", "10.0.0.999:80", "10.0.0.9:80:80", ":80", "",
+          "[::1:80"}) {
+      cr_expect(!parse(entry(address, "3", "17", "")), "%s", address);
+    }
+  }
+  SECTION("deep nesting, wherever it stands") {
+    for (const std::size_t depth : {100U, 1000U, 100000U}) {
+      const std::string deep =
+          std::string(depth, '[') + std::string(depth, ']');
+      EXPECT(!parse(deep));
+      EXPECT(!parse(entry("10.0.0.9:80", deep, "17", "")));
+      (void)parse(entry("10.0.0.9:80", "3", "17", R"(,"more":)" + deep));
+      EXPECT(!parse(std::string(depth, '[')));
+      std::string objects;
+      for (std::size_t i = 0; i < depth; ++i) {
+        objects += R"({"a":)";
+      }
+      EXPECT(!parse(objects));
+      EXPECT(!parse(objects + "1" + std::string(depth, '}')));
+    }
+  }
+}
+
 Test(store_messages, requests_and_answers) {
   SECTION("a transaction with a condition is formatted") {
     EXPECT(
