Let an instance that has just started promote only after unknown leases expired

What callers saw: nothing yet; found by reading the argument once more. Cause: a promoter that first read the list of instances 1.75 s ago waited for leases that it cannot know of, but a majority that vanished before may renew each other's leases for 8 s. Change: it waits 8.4 s from its first read. Such an instance leaves a vacant duty to the others for 600 ms longer, so that one that may promote takes it. Test: promotion/a_new_instance_waits_for_leases_that_it_cannot_know_of, with the longer bound.

--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "marjoramslip/base/clock.h"
+#include "marjoramslip/core/options.h"
 #include "marjoramslip/core/record_codec.h"
 #include "platform_link_members.h"
 
@@ -20,6 +21,9 @@
 /// just died.
 constexpr duration kClaimInterval = std::chrono::milliseconds(150);
 constexpr duration kMaxClaimDelay = std::chrono::milliseconds(2000);
+/// Additional delay of an instance that has just started: it may not promote
+/// before the serving leases of instances that it cannot know of have expired.
+constexpr duration kNewcomerClaimDelay = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -91,6 +95,9 @@
   }
   members_requested_at_ = requested_at;
   all_requested_at_ = requested_at;
+  if (first_requested_at_ == instant{}) {
+    first_requested_at_ = requested_at;
+  }
   PostMembers();
   context_.Post(records_read{requested_at});
   ArmTimer();
@@ -194,7 +201,10 @@
         const member& other = listed.second.value;
         return !other.leaving && other.id < self_.id;
       });
-  return std::min<duration>(kClaimInterval * ahead, kMaxClaimDelay);
+  const bool newcomer =
+      BootTime() - first_requested_at_ < core_options{}.majority_lease_wait;
+  return std::min<duration>(kClaimInterval * ahead, kMaxClaimDelay) +
+         (newcomer ? kNewcomerClaimDelay : duration::zero());
 }
 
 void platform_follower::PostFaults() {
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -297,7 +297,7 @@
   bool NoOtherServes(instant now) const;
   /// True if those that acknowledged the sealed record are more than half of
   /// all instances, so that the others are no majority of any list.
-  bool MajorityAcknowledged(instant now) const;
+  bool MajorityAcknowledged() const;
   /// Ends the membership leases of the instances that do not acknowledge.
   void EndSilentMemberships(instant now, effect_list& effects);
   /// Requests the list of instances if the last is older than the phase.
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -84,13 +84,12 @@
   }
   // An instance that vanished before this one first read the list is unknown.
   const instant unknown_expired =
-      *peers_known_since_ + options_.serving_lease_wait;
+      *peers_known_since_ + options_.majority_lease_wait;
   if (AllAcknowledged(phase_revision_)) {
     return now >= unknown_expired;
   }
-  const duration wait = MajorityAcknowledged(now)
-                            ? options_.serving_lease_wait
-                            : options_.majority_lease_wait;
+  const duration wait = MajorityAcknowledged() ? options_.serving_lease_wait
+                                               : options_.majority_lease_wait;
   // Until it acknowledged, an instance may have confirmed the leases of others.
   instant last_confirmation = std::max(phase_since_, last_acknowledgement_at_);
   for (const recent_peer& peer : peers_) {
@@ -107,9 +106,7 @@
   return now >= std::max(unknown_expired, last_confirmation + wait);
 }
 
-bool group_terms::MajorityAcknowledged(instant now) const {
-  const bool knows_all =
-      now - *peers_known_since_ >= options_.majority_lease_wait;
+bool group_terms::MajorityAcknowledged() const {
   std::size_t acknowledged = 1;  // Counts this instance.
   for (const recent_peer& peer : peers_) {
     const auto entry = acknowledged_.find(peer.id);
@@ -117,7 +114,7 @@
                         entry->second >= phase_revision_;
     acknowledged += counts ? 1 : 0;
   }
-  return knows_all && acknowledged * 2 > peers_.size() + 1;
+  return acknowledged * 2 > peers_.size() + 1;
 }
 
 void group_terms::EndSilentMemberships(instant now, effect_list& effects) {
--- a/unittests/core/promoted_world.h
+++ b/unittests/core/promoted_world.h
@@ -23,7 +23,7 @@
   /// Gives this instance the duty to promote, once the leases of instances that
   /// it cannot know of have expired.
   void HoldDuty(duration length = std::chrono::seconds(10)) {
-    AdvanceTime(std::chrono::milliseconds(2000));
+    AdvanceTime(std::chrono::milliseconds(8500));
     ApplyEvent(duty_seen{IdOf<instance_id>("i"), kFence, Now() + length});
   }
 
--- a/unittests/core/promotion_test.cc
+++ b/unittests/core/promotion_test.cc
@@ -16,11 +16,11 @@
 struct sealed_term_world : promoted_world {
   explicit sealed_term_world(bool lease_store_answers = true,
                              duration listed_for = seconds(12)) {
+    HoldDuty(seconds(60));
     SetMembers({{IdOf<instance_id>("i"), "i", {}, {}, false, 0, 30},
                 {IdOf<instance_id>("j"), "j", {}, {}, false, 1, 31},
                 {IdOf<instance_id>("k"), "k", {}, {}, false, 2, 32}});
     AdvanceTime(listed_for);
-    HoldDuty(seconds(60));
     MakePrimaryUnreachable();
     lease_store_available = lease_store_answers;
     suspicion_report agreed;
@@ -209,9 +209,9 @@
   SECTION("the silent ones may be a majority: they may renew their leases") {
     // An instance that was listed only just now may be on no list of theirs.
     sealed_term_world world(true, seconds(1));
-    world.AdvanceTime(seconds(5));
+    world.AdvanceTime(seconds(7));
     EXPECT(world.promotions.empty());
-    world.AdvanceTime(seconds(4));
+    world.AdvanceTime(seconds(2));
     EXPECT(world.promotions.size() == 1);
   }
   SECTION("its lease cannot be ended: nothing is promoted") {
@@ -262,7 +262,7 @@
       duty_seen{IdOf<instance_id>("i"), kFence, world.Now() + seconds(60)});
   world.unreachable_endpoint = harness::Id("a");
   world.ApplyEvent(probe_failed{harness::Id("a"), world.Now(), true});
-  world.AdvanceTime(core_options{}.serving_lease);
+  world.AdvanceTime(core_options{}.majority_lease_limit);
   EXPECT(world.promotions.empty());
   world.AdvanceTime(milliseconds(600));
   EXPECT(world.promotions.size() == 1);
