Number the requests for serving leases anew in each process

What callers saw: nothing; found while reading the change. Cause: the requests of each process were numbered from 1. A peer that still echoes a request of the process before could confirm one that the new process sent later. Change: the numbers start at a multiple of the process's seed, as those of loans do. Test: serving_lease/requests_of_an_earlier_process_are_not_confirmed (failed before).

--- a/lib/core/core_state.h
+++ b/lib/core/core_state.h
@@ -168,9 +168,9 @@
   instant arrived_at;
 };
 
-/// Factor that separates the ids of loans and of requests for evidence of
-/// successive starts of an instance.
-inline constexpr std::uint64_t kLoanIdStride = 0x9e3779b97f4a7c15;
+/// Factor that separates the ids of loans, of requests for evidence and of
+/// requests for the serving lease of successive starts of an instance.
+inline constexpr std::uint64_t kIdStride = 0x9e3779b97f4a7c15;
 
 /// The whole state of the instance.
 struct core_state {
@@ -178,10 +178,10 @@
       : options(settings),
         self(IdOf<instance_id>(settings.instance_name)),
         members(self),
-        lease(options),
+        lease(options, settings.process_seed * kIdStride),
         sessions(settings.session_limit),
-        next_loan(settings.process_seed * kLoanIdStride),
-        next_ticket(settings.process_seed * kLoanIdStride) {}
+        next_loan(settings.process_seed * kIdStride),
+        next_ticket(settings.process_seed * kIdStride) {}
 
   const core_options options;
   const instance_id self;
--- a/lib/core/serving_lease.h
+++ b/lib/core/serving_lease.h
@@ -31,7 +31,10 @@
 ///    down, when nobody can seal a record.
 class serving_lease {
  public:
-  explicit serving_lease(const core_options& options) : options_(options) {}
+  /// Requests are numbered from `first_sequence`, which differs between the
+  /// processes of an instance.
+  serving_lease(const core_options& options, std::uint64_t first_sequence)
+      : options_(options), last_sequence_(first_sequence) {}
 
   /// Handles a renewal of the membership lease requested at `requested_at`.
   /// The announcement under that lease was in the store at `announced_at`.
@@ -84,7 +87,7 @@
   instant announced_at_{};
   instant store_until_{};
   instant peer_until_{};
-  std::uint64_t last_sequence_ = 0;
+  std::uint64_t last_sequence_;
   std::deque<sent_request> sent_;
   std::map<instance_id, std::uint64_t> heard_;
   std::map<instance_id, confirmation> confirmed_;
--- a/unittests/core/serving_lease_test.cc
+++ b/unittests/core/serving_lease_test.cc
@@ -160,6 +160,18 @@
   EXPECT(world.violations == 0);
 }
 
+// Guards against a peer that still echoes a request of the process before this
+// one, whose number this one has reached since.
+Test(serving_lease, requests_of_an_earlier_process_are_not_confirmed) {
+  cut_off_world world;
+  world.AdvanceTime(seconds(2));
+  for (std::uint64_t number = 1; number < 100; ++number) {
+    world.Confirm(kPeer, number, milliseconds(900));
+    world.Confirm(kThird, number, milliseconds(900));
+  }
+  EXPECT(!world.MaySendWrite());
+}
+
 Test(serving_lease, peers_exchange_records_that_one_of_them_lacks) {
   cut_off_world world;
   world.peer_messages.clear();
