--- a/include/marjoramslip/kv/memory_store.h
+++ b/include/marjoramslip/kv/memory_store.h
@@ -62,6 +62,8 @@
 
   /// Returns the number of calls so far, including failed ones.
   std::uint64_t Calls() const;
+  /// Returns the number of those calls that renewed a lease.
+  std::uint64_t Renewals() const;
 
  private:
   struct stored_entry {
@@ -87,6 +89,7 @@
   std::uint64_t history_lost_at_ = 0;
   std::uint64_t last_lease_ = 0;
   std::uint64_t calls_ = 0;
+  std::uint64_t renewals_ = 0;
   int answers_to_drop_ = 0;
   int requests_to_drop_ = 0;
   std::string dropped_key_;
--- a/lib/kv/memory_store.cc
+++ b/lib/kv/memory_store.cc
@@ -229,6 +229,7 @@
 result<void> memory_store::KeepAlive(std::uint64_t lease) {
   BOOST_LEAF_CHECK(BeginCall());
   const std::lock_guard lock(mutex_);
+  ++renewals_;
   if (!leases_.contains(lease)) {
     return Fail(error_kind::kConflict, "the lease has lapsed");
   }
@@ -342,6 +343,11 @@
   }
 }
 
+std::uint64_t memory_store::Renewals() const {
+  const std::lock_guard lock(mutex_);
+  return renewals_;
+}
+
 std::uint64_t memory_store::Calls() const {
   const std::lock_guard lock(mutex_);
   return calls_;
