Log each promotion attempt with its answer, and show for how long a group is closed

The hypotheses differ in what the platform answers and in what a closed group waits for; neither was on record. Now each answer of the platform is an event with its outcome (accepted, refused, over the limit, not sent, no answer) and a line, group.promotion_answered; group.candidate tells the candidate's own state; marjoramslip_group_closed_seconds_total counts closed time by stage; the status shows the stage, how long, the attempts and the last answer. No decision changes.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -11,6 +11,7 @@
 #include "marjoramslip/base/ids.h"
 #include "marjoramslip/base/time.h"
 #include "marjoramslip/base/verdict.h"
+#include "marjoramslip/core/change_stage.h"
 #include "marjoramslip/core/events.h"
 #include "marjoramslip/core/group_record.h"
 #include "marjoramslip/core/peer_messages.h"
@@ -100,7 +101,8 @@
 };
 
 /// Makes an endpoint that is at `term` the primary of that term. Idempotent.
-/// Answered by endpoint_promoted, or not at all.
+/// Answered by endpoint_promoted, or not at all. Where the platform promotes,
+/// by promotion_answered.
 struct promote_endpoint {
   endpoint_id endpoint;
   term_number term = 0;
@@ -195,6 +197,14 @@
   group_id group;
 };
 
+/// Records in the metrics for how long a group accepted no writes while it was
+/// in `stage`.
+struct group_closed {
+  group_id group;
+  change_stage stage = change_stage::kNone;
+  duration length{};
+};
+
 /// Requests a tick at `when` if that is earlier than the next regular tick.
 struct wake_at {
   instant when;
@@ -208,8 +218,8 @@
                  close_connection, send_statement, cancel_statement,
                  probe_endpoint, move_endpoint, promote_endpoint, write_record,
                  read_record, read_members, end_membership, send_peer_message,
-                 log_line, request_finished, counter_increment, wake_at,
-                 drained>;
+                 log_line, request_finished, counter_increment, group_closed,
+                 wake_at, drained>;
 
 /// Effects in the order in which the shell must carry them out.
 using effect_list = std::vector<effect>;
--- a/include/marjoramslip/core/events.h
+++ b/include/marjoramslip/core/events.h
@@ -145,6 +145,23 @@
   bool accepted = false;
 };
 
+/// How the platform answered a request for a promotion.
+enum class promotion_outcome : std::uint8_t {
+  kAccepted,    ///< Takes effect soon, or the endpoint is the primary already.
+  kNotRunning,  ///< Refused: the platform regards the endpoint as not running.
+  kOverLimit,   ///< Refused: too many requests.
+  kNotSent,     ///< No request left this instance.
+  kUnknown,     ///< No answer: it may take effect, now or later.
+};
+
+/// The platform answered a `promote_endpoint` of a service whose statements
+/// carry no term, or the request was given up.
+struct promotion_answered {
+  endpoint_id endpoint;
+  promotion_outcome outcome = promotion_outcome::kUnknown;
+  std::string reason;  ///< Human-readable.
+};
+
 // Events from the platform's key-value service.
 
 /// A group's record arrived from a read or a watch.
@@ -271,10 +288,10 @@
     caller_opened, statement_received, cancel_received, loss_acknowledged,
     caller_closed, connection_opened, connection_refused, statement_answered,
     connection_lost, statement_progressed, probe_answered, probe_failed,
-    endpoint_moved, endpoint_promoted, record_seen, record_written,
-    catalogue_seen, members_seen, membership_renewed, records_read,
-    membership_ended, store_reachability, duty_seen, fault_reported,
-    peer_received, promote_requested, drain_requested, tick>;
+    endpoint_moved, endpoint_promoted, promotion_answered, record_seen,
+    record_written, catalogue_seen, members_seen, membership_renewed,
+    records_read, membership_ended, store_reachability, duty_seen,
+    fault_reported, peer_received, promote_requested, drain_requested, tick>;
 
 }  // namespace marjoramslip
 
--- a/include/marjoramslip/core/status_report.h
+++ b/include/marjoramslip/core/status_report.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "marjoramslip/base/time.h"
+#include "marjoramslip/core/change_stage.h"
 #include "marjoramslip/core/endpoint_state.h"
 #include "marjoramslip/core/group_record.h"
 
@@ -26,6 +27,16 @@
   std::uint32_t share = 0;
 };
 
+/// A group's change of primary, as far as this instance knows it.
+struct change_report {
+  change_stage stage = change_stage::kNone;
+  duration closed_for{};
+  /// Requests for a promotion by this instance since the group was closed.
+  std::uint32_t attempts = 0;
+  /// What became of the last attempt, human-readable; empty if there is none.
+  std::string last_answer;
+};
+
 /// The instance's view of one group.
 struct group_report {
   std::string service;
@@ -33,6 +44,7 @@
   group_record record;
   std::uint64_t record_revision = 0;
   bool permit = false;
+  change_report change;
   std::uint32_t queued = 0;
   std::vector<endpoint_report> endpoints;
 };
--- a/include/marjoramslip/lines/line_links.h
+++ b/include/marjoramslip/lines/line_links.h
@@ -18,8 +18,8 @@
  public:
   virtual ~endpoint_promoter() = default;
 
-  /// Returns without waiting. A failed call is only logged: the state that the
-  /// endpoint reports shows whether it was promoted.
+  /// Returns without waiting. The answer comes as `promotion_answered`. Whether
+  /// the endpoint was promoted is shown by the state that it reports.
   virtual void Promote(std::string_view service, std::string_view endpoint,
                        const promote_endpoint& command) = 0;
 };
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -220,6 +220,8 @@
   majority_moved_.reset();
   promoted_ = false;
   next_promotion_ = {};
+  promotion_attempts_ = 0;
+  last_promotion_answer_.reset();
   for (auto& [id, view] : endpoints_) {
     view.evidence_at.reset();
     view.next_probe = {};
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "closed_time.h"
 #include "marjoramslip/base/ids.h"
 #include "marjoramslip/base/log_point.h"
 #include "marjoramslip/base/time.h"
@@ -18,6 +19,7 @@
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
 #include "marjoramslip/core/options.h"
+#include "marjoramslip/core/status_report.h"
 #include "membership.h"
 #include "position_samples.h"
 
@@ -104,6 +106,9 @@
   void OnMoved(const endpoint_moved& answer, instant now, effect_list& effects);
   void OnPromoted(const endpoint_promoted& answer, instant now,
                   effect_list& effects);
+  /// Handles the platform's answer to a request for a promotion.
+  void OnPromotionAnswered(const promotion_answered& answer, instant now,
+                           effect_list& effects);
   void OnRecord(const versioned_record& record, instant now,
                 effect_list& effects);
   void OnWritten(const record_written& result, instant now,
@@ -204,6 +209,8 @@
   }
   const endpoint_view* View(endpoint_id endpoint) const;
   bool Suspects(endpoint_id endpoint) const;
+  /// Returns the change of primary in progress.
+  change_report Change(instant now) const;
   group_id Id() const { return id_; }
   const std::string& Name() const { return name_; }
   const service_spec& Service() const { return service_; }
@@ -309,6 +316,10 @@
   void OpenPromoted(instant now, effect_list& effects);
   void ResumePromotion(instant now, effect_list& effects);
 
+  /// What the group is waiting for (change_progress.cc).
+  change_stage Stage(instant now) const;
+  change_stage StageOfStep(instant now) const;
+
   // Between changes (group_upkeep.cc).
   bool AwaitingDeclarations(instant now);
   void CreateRecord(instant now, effect_list& effects);
@@ -374,6 +385,10 @@
   std::uint64_t fence_ = 0;
   instant duty_until_{};
   instant next_promotion_{};
+  std::uint32_t promotion_attempts_ = 0;
+  /// The answer to the last attempt; empty until it arrives.
+  std::optional<promotion_answered> last_promotion_answer_;
+  closed_time closed_time_;
   /// The start of the promoted endpoint's term.
   fork_point promoted_fork_;
   /// Since when answers have come from a term newer than the record's.
--- a/lib/core/groups.cc
+++ b/lib/core/groups.cc
@@ -322,6 +322,15 @@
   core.MarkDirty(*group);
 }
 
+void OnPromotionAnswered(core_state& core, const promotion_answered& answer) {
+  group_state* const group = GroupOfEndpoint(core, answer.endpoint);
+  if (group == nullptr) {
+    return;
+  }
+  group->terms.OnPromotionAnswered(answer, core.now, *core.effects);
+  core.MarkDirty(*group);
+}
+
 void OnRecordSeen(core_state& core, group_id id,
                   const versioned_record& record) {
   group_state* const group = core.Group(id);
--- a/lib/core/groups.h
+++ b/lib/core/groups.h
@@ -21,6 +21,7 @@
 void OnProbeFailed(core_state& core, const probe_failed& report);
 void OnEndpointMoved(core_state& core, const endpoint_moved& result);
 void OnEndpointPromoted(core_state& core, const endpoint_promoted& result);
+void OnPromotionAnswered(core_state& core, const promotion_answered& answer);
 void OnRecordSeen(core_state& core, group_id id,
                   const versioned_record& record);
 void OnRecordWritten(core_state& core, const record_written& result);
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -210,7 +210,8 @@
   next.candidate_chosen = true;
   next.candidate_point = best_rank.second;
   Log(effects, log_level::kInfo, "group.candidate",
-      "received up to " + FormatLogPoint(best_rank.second) +
+      "received up to " + FormatLogPoint(best_rank.second) + ", state " +
+          FormatEndpointState(View(best)->state) +
           (AllAcknowledged(phase_revision_)
                ? ", all instances hold the sealed record"
                : ", the leases of silent instances have expired"),
@@ -232,8 +233,11 @@
     return;
   }
   next_promotion_ = now + kPromotionRequestInterval;
+  ++promotion_attempts_;
+  last_promotion_answer_.reset();
   Log(effects, log_level::kInfo, "group.promote",
-      "asking the platform, fence " + std::to_string(fence_),
+      "attempt " + std::to_string(promotion_attempts_) +
+          ": asking the platform, fence " + std::to_string(fence_),
       record_.record.candidate);
   effects.emplace_back(
       promote_endpoint{record_.record.candidate, Term(), fence_});
--- a/lib/core/reducer.cc
+++ b/lib/core/reducer.cc
@@ -79,6 +79,9 @@
   void operator()(const endpoint_promoted& e) const {
     OnEndpointPromoted(core, e);
   }
+  void operator()(const promotion_answered& e) const {
+    OnPromotionAnswered(core, e);
+  }
   void operator()(const record_seen& e) const {
     OnRecordSeen(core, e.group, e.record);
   }
--- a/lib/core/report.cc
+++ b/lib/core/report.cc
@@ -33,6 +33,7 @@
   report.record = group.terms.Record().record;
   report.record_revision = group.terms.Record().revision;
   report.permit = group.terms.HoldsPermit(now);
+  report.change = group.terms.Change(now);
   report.queued = group.request_count - group.sent_requests;
   for (const auto& [id, view] : group.terms.Endpoints()) {
     report.endpoints.push_back(ReportEndpoint(core, group, view, now));
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -363,6 +363,7 @@
 }
 
 void group_terms::OnTick(instant now, effect_list& effects) {
+  closed_time_.Observe(id_, Stage(now), now, effects);
   if (record_known_ && record_.revision == 0) {
     if (step_ != step::kCreating && MayDrive(now)) {
       if (step_since_ == instant{}) {
--- a/lib/runtime/metrics.cc
+++ b/lib/runtime/metrics.cc
@@ -144,6 +144,10 @@
                            "Requests that ended")),
       verdicts_(AddCounter(registry_, "marjoramslip_verdicts_total",
                            "Failed requests by what is known of their effect")),
+      closed_seconds_(
+          AddCounter(registry_, "marjoramslip_group_closed_seconds_total",
+                     "Time in which a group accepted no writes, by what it "
+                     "was waiting for")),
       callers_(AddGauge(registry_, "marjoramslip_callers",
                         "Callers, and their requests in progress")),
       connections_(AddGauge(registry_, "marjoramslip_connections",
@@ -202,6 +206,13 @@
   }
 }
 
+void metrics::Closed(const group_closed& what, const std::string& group) {
+  closed_seconds_
+      .Add({{"group", group},
+            {"stage", std::string(marjoramslip::NameOf(what.stage))}})
+      .Increment(Seconds(what.length));
+}
+
 void metrics::LoopTurn(duration busy) { loop_seconds_.Observe(Seconds(busy)); }
 
 void metrics::Observe(const status_report& report) {
--- a/lib/runtime/metrics.h
+++ b/lib/runtime/metrics.h
@@ -40,6 +40,7 @@
   void Finished(const request_finished& what, std::string_view service,
                 std::string_view tenant);
   void Counted(const counter_increment& what, const std::string& group);
+  void Closed(const group_closed& what, const std::string& group);
   void LoopTurn(duration busy);
 
   /// Sets the gauges of callers, requests and connections.
@@ -64,6 +65,7 @@
   prometheus::Family<prometheus::Histogram>& queue_seconds_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& verdicts_;
+  prometheus::Family<prometheus::Counter>& closed_seconds_;
   prometheus::Family<prometheus::Gauge>& callers_;
   prometheus::Family<prometheus::Gauge>& connections_;
   prometheus::Histogram& loop_seconds_;
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -150,6 +150,10 @@
   parts_.measured.Counted(what, names_.NameOf(what.group));
 }
 
+void runtime::CarryOut(const group_closed& what) {
+  parts_.measured.Closed(what, names_.NameOf(what.group));
+}
+
 void runtime::CarryOut(const wake_at& what) { parts_.loop.WakeAt(what.when); }
 
 void runtime::CarryOut(const drained& /*what*/) { on_drained_(); }
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -77,6 +77,7 @@
   void CarryOut(const log_line& what);
   void CarryOut(const request_finished& what);
   void CarryOut(const counter_increment& what);
+  void CarryOut(const group_closed& what);
   void CarryOut(const wake_at& what);
   void CarryOut(const drained& what);
 
--- a/lib/runtime/status_json.cc
+++ b/lib/runtime/status_json.cc
@@ -82,6 +82,17 @@
   return json;
 }
 
+Object ToJson(const change_report& change) {
+  const auto closed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(change.closed_for);
+  Object json = NewObject();
+  json.set("stage", std::string(marjoramslip::NameOf(change.stage)));
+  json.set("closed_for_ms", static_cast<std::int64_t>(closed.count()));
+  json.set("attempts", change.attempts);
+  json.set("last_answer", change.last_answer);
+  return json;
+}
+
 Object ToJson(const group_report& group, const name_table& names) {
   Array endpoints;
   for (const endpoint_report& endpoint : group.endpoints) {
@@ -93,6 +104,9 @@
   json.set("record", ToJson(group.record, names));
   json.set("record_revision", group.record_revision);
   json.set("permit", group.permit);
+  if (group.change.stage != change_stage::kNone) {
+    json.set("change", ToJson(group.change));
+  }
   json.set("queued", group.queued);
   json.set("endpoints", endpoints);
   return json;
--- a/tools/marjoramslip/status_text.cc
+++ b/tools/marjoramslip/status_text.cc
@@ -71,6 +71,19 @@
   return line + "\n";
 }
 
+/// What a closed group waits for; empty for an open one.
+std::string DescribeChange(const Object& group) {
+  const Object::Ptr change = group.getObject("change");
+  if (change.isNull()) {
+    return "";
+  }
+  std::string text = "    closed for " + Number(*change, "closed_for_ms") +
+                     " ms, " + Text(*change, "stage") + ", " +
+                     Number(*change, "attempts") + " attempts";
+  const std::string answer = Text(*change, "last_answer");
+  return text + (answer.empty() ? "" : ", the last: " + answer) + "\n";
+}
+
 std::string DescribeGroup(const Object& group) {
   const Object::Ptr record = Inner(group, "record");
   const std::string phase = Text(*record, "phase");
@@ -85,6 +98,7 @@
   }
   text += Flag(group, "permit") ? ", permit held" : ", no permit";
   text += ", " + Number(group, "queued") + " requests waiting\n";
+  text += DescribeChange(group);
   const Array::Ptr endpoints = Items(group, "endpoints");
   for (unsigned i = 0; i < endpoints->size(); ++i) {
     const Object::Ptr endpoint = endpoints->getObject(i);
--- a/unittests/platform/store_test.cc
+++ b/unittests/platform/store_test.cc
@@ -171,40 +171,57 @@
   }
 }
 
-Test(promoter, failures_are_reported) {
+Test(promoter, each_answer_is_reported) {
   fake_gateway gateway([](const std::string&, const std::string& body) {
     if (body.find("db-good") != std::string::npos) {
       return fake_reply{.status = 200, .body = "{}"};
     }
+    if (body.find("db-many") != std::string::npos) {
+      return fake_reply{.status = 429, .body = "slow down"};
+    }
     return body.find("db-cut") == std::string::npos
                ? fake_reply{.status = 409, .body = "stale fence"}
                : fake_reply{.body = {}, .drop = true};
   });
   shell::recording_loop loop;
-  const auto promoter = MakePromoter(ParseAddress(gateway), "one", loop);
-  promote_endpoint promotion;
-  promotion.fence = 3;
-  // Calls are sent in order, so both failures follow the success.
-  promoter->Promote("svc", "db-good", promotion);
-  promoter->Promote("svc", "db-cut", promotion);
-  promoter->Promote("svc", "db-old", promotion);
-  const auto reported_failure = [&loop](std::string_view endpoint) {
-    const auto fault =
-        loop.Await<fault_reported>([endpoint](const fault_reported& report) {
-          return report.name == "promotion.failed" &&
-                 report.text.starts_with(endpoint);
+  const auto promote = [&loop](const kv::http_address& platform,
+                               const char* name) {
+    const auto promoter = MakePromoter(platform, "one", loop);
+    promote_endpoint promotion;
+    promotion.endpoint = IdOf<endpoint_id>(name);
+    promotion.fence = 3;
+    promoter->Promote("svc", name, promotion);
+    return loop.Await<promotion_answered>(
+        [&](const promotion_answered& answer) {
+          return answer.endpoint == promotion.endpoint;
         });
-    return fault ? fault->text : std::string();
   };
-  SECTION("a call without a response") {
-    EXPECT(!reported_failure("db-cut: ").empty());
+  SECTION("a success") {
+    const auto answer = promote(ParseAddress(gateway), "db-good");
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kAccepted);
   }
-  SECTION("a refusal, with the platform's response") {
-    EXPECT(reported_failure("db-old: ").find("409: stale fence") !=
-           std::string::npos);
+  SECTION("a call without a response may take effect") {
+    const auto answer = promote(ParseAddress(gateway), "db-cut");
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kUnknown);
+    EXPECT(!answer->reason.empty());
   }
-  SECTION("a success is not reported") {
-    EXPECT(loop.Count<fault_reported>() == 2);
+  SECTION("a refusal, with the platform's response") {
+    const auto answer = promote(ParseAddress(gateway), "db-old");
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kNotRunning);
+    EXPECT(answer->reason.find("409: stale fence") != std::string::npos);
+  }
+  SECTION("a refusal for want of room") {
+    const auto answer = promote(ParseAddress(gateway), "db-many");
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kOverLimit);
+  }
+  SECTION("a platform that can't be reached") {
+    const auto answer = promote({"127.0.0.1", 1}, "db-far");
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kNotSent);
   }
 }
 
