Hand a sealed group back to its primary when it returns

Cause: a primary that returned was one more candidate. Its process has a new id, so nothing told that it was the old primary; the platform answers 200 to its promotion and changes nothing, and the later term that was waited for never came. Each new seal chose it again for its log. Under its own id it was passed over, so a group without other databases stayed closed for good.

Change: a database that reports itself as the primary of the last open term, sampled after the seal, with no other log ahead of it and no later term seen, gets its group back at once: the same term opens again. It waits for no instance, as the primary never changed. Planned changes and a primary that does not replicate go on as before, and end this way only if there is no candidate. The old primary is told to step down once the candidate leads, not when the group is sealed.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -180,6 +180,7 @@
   kInvariantViolations,
   kPromotionsStarted,
   kPromotionsFinished,
+  kPrimariesHandedBack,
   kFailoverGapMicroseconds,
   kPermitWaits,
   kReplicaWaits,
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -226,6 +226,7 @@
     kChoosing,   ///< Writing the chosen candidate.
     kPromoting,  ///< Promoting the candidate and waiting for permits to lapse.
     kOpening,    ///< Writing the open record.
+    kHandingBack,         ///< Writing the record that opens the old term again.
     kReplacingWitnesses,  ///< Writing a changed set of witnesses.
   };
 
@@ -310,6 +311,16 @@
   /// Requests the list of instances if the last is older than the phase.
   void RequestMembers(instant now, effect_list& effects);
   void ChooseForPromotion(instant now, effect_list& effects);
+  /// Returns the database that reports itself as the primary of the last open
+  /// term, under whatever id; 0 if there is none, or if its log is incomplete.
+  endpoint_id PresentPrimary() const;
+  /// True if the change was requested while the primary was in order.
+  bool IsPlanned() const;
+  /// Opens the old term again with its primary, `present`.
+  void HandBack(endpoint_id present, instant now, effect_list& effects);
+  /// Hands the group back if its primary has returned in time. Returns whether
+  /// it does.
+  bool HandBackIfReturned(instant now, effect_list& effects);
   void RequestPromotion(instant now, effect_list& effects);
   void RecordPromotion(const endpoint_view& view);
   void OnNewerTermSeen(term_number log_term, instant now);
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -152,13 +152,13 @@
           send_peer_message{peer.id, record_update{id_, record_}});
     }
   }
-  if (View(Primary()) != nullptr && record_.record.candidate != Primary()) {
-    effects.emplace_back(move_endpoint{Primary(), Term(), false});
-  }
 }
 
 void group_terms::AdvancePromotion(instant now, effect_list& effects) {
   SendRecord(now, effects);
+  if (HandBackIfReturned(now, effects)) {
+    return;
+  }
   if (step_ == step::kMoving) {
     if (!record_.record.candidate_chosen) {
       ChooseForPromotion(now, effects);
@@ -170,7 +170,80 @@
   OpenPromoted(now, effects);
 }
 
+endpoint_id group_terms::PresentPrimary() const {
+  endpoint_id present;
+  log_point end;
+  log_point furthest;
+  for (const auto& [id, view] : endpoints_) {
+    const endpoint_state& state = view.state;
+    if (!view.state_sampled_at.has_value()) {
+      continue;
+    }
+    if (state.term > LogTerm()) {
+      return {};
+    }
+    const log_point received = std::max(state.received_point, state.Point());
+    furthest = std::max(furthest, received);
+    if (*view.state_sampled_at >= phase_since_ &&
+        !view.unreachable_since.has_value() &&
+        state.role == endpoint_role::kPrimary && state.term == LogTerm() &&
+        state.log_term == LogTerm()) {
+      present = id;
+      end = received;
+    }
+  }
+  return end < furthest ? endpoint_id{} : present;
+}
+
+bool group_terms::IsPlanned() const {
+  const group_record& record = record_.record;
+  const endpoint_view* const primary = View(record.primary);
+  return reason_ == reason::kPlanned ||
+         (record.candidate != endpoint_id{} && !record.candidate_chosen) ||
+         (primary != nullptr && primary->spec.leaving);
+}
+
+// The platform has one primary a term. While no later promotion takes effect,
+// the primary of the last open term is the only one whose writes can be
+// acknowledged, so opening the term again shows nothing that it must not.
+void group_terms::HandBack(endpoint_id present, instant now,
+                           effect_list& effects) {
+  group_record next = record_.record;
+  next.term = LogTerm();
+  next.phase = group_phase::kOpen;
+  next.primary = present;
+  next.candidate = present;
+  next.candidate_chosen = true;
+  // A database that restarted has another id and the same log.
+  if (!endpoints_.contains(record_.record.primary)) {
+    std::replace(next.witnesses.begin(), next.witnesses.end(),
+                 record_.record.primary, present);
+  }
+  Log(effects, log_level::kInfo, "group.handed_back",
+      "the primary of term " + std::to_string(next.term) +
+          " has returned, state " + FormatEndpointState(View(present)->state),
+      present);
+  StartRecordWrite(std::move(next), step::kHandingBack, now, effects);
+}
+
+bool group_terms::HandBackIfReturned(instant now, effect_list& effects) {
+  const endpoint_id present = PresentPrimary();
+  if (present == endpoint_id{} || promoted_ || !MayDrive(now)) {
+    return false;
+  }
+  const bool chosen = record_.record.candidate_chosen;
+  const bool is_asked = chosen && present == record_.record.candidate;
+  const bool is_excluded =
+      chosen || IsPlanned() || reason_ == reason::kNotReplicating;
+  if (is_excluded && !is_asked) {
+    return false;
+  }
+  HandBack(present, now, effects);
+  return true;
+}
+
 void group_terms::ChooseForPromotion(instant now, effect_list& effects) {
+  const endpoint_id present = PresentPrimary();
   if (!NoOtherServes(now)) {
     return;
   }
@@ -180,7 +253,9 @@
   for (const auto& [id, view] : endpoints_) {
     const bool answered = view.state_sampled_at.has_value() &&
                           *view.state_sampled_at >= step_since_;
-    if (id == Primary() || view.unreachable_since.has_value()) {
+    // For the present primary, the platform changes nothing.
+    if (id == Primary() || id == present ||
+        view.unreachable_since.has_value()) {
       continue;
     }
     if (!answered) {
@@ -202,7 +277,13 @@
     }
   }
   const bool may_wait = now - step_since_ < kAckTimeout + kReplicaReportTimeout;
-  if (best == endpoint_id{} || (!complete && may_wait)) {
+  if (!complete && may_wait) {
+    return;
+  }
+  if (best == endpoint_id{}) {
+    if (present != endpoint_id{} && MayDrive(now)) {
+      HandBack(present, now, effects);
+    }
     return;
   }
   group_record next = record_.record;
@@ -276,6 +357,11 @@
   if (!promoted_ || !NoOtherServes(now)) {
     return;
   }
+  // Not before: until the candidate leads, the old primary may be handed the
+  // group back.
+  if (View(Primary()) != nullptr && record_.record.candidate != Primary()) {
+    effects.emplace_back(move_endpoint{Primary(), promoted_fork_.term, false});
+  }
   group_record next = record_.record;
   next.term = promoted_fork_.term;
   next.primary = next.candidate;
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -85,9 +85,12 @@
     case step::kChoosing:
       EnterStep(step::kPromoting, now);
       break;
+    case step::kHandingBack:
     case step::kOpening: {
-      effects.emplace_back(
-          counter_increment{counter::kPromotionsFinished, 1, id_});
+      effects.emplace_back(counter_increment{
+          written_step == step::kOpening ? counter::kPromotionsFinished
+                                         : counter::kPrimariesHandedBack,
+          1, id_});
       const duration gap = now - write_gap_since.value_or(now);
       effects.emplace_back(
           counter_increment{counter::kFailoverGapMicroseconds,
