End each attempt at a promotion, and let the next one differ from it

Nothing was learnt from the platform's answer.

Change: within one seal, the answer decides what comes next. Accepted: 2 s for the effect, then another candidate. Not running: another candidate at once. Over the limit, not sent or no answer: the same candidate again, after delays that double from 100 ms to 3.2 s; another after 4 s, or when the candidate is out of reach. A candidate that was given up is chosen again only when no other is left, after the same delays. The record is not sealed again for it: no instance serves the old term any more, so terms rise only with a new primary. Whichever database leads a later term is adopted, the candidate or another whose promotion took effect late. The old primary is handed its group back if the candidate is given up.

--- a/lib/core/change_progress.cc
+++ b/lib/core/change_progress.cc
@@ -31,8 +31,8 @@
 
 }  // namespace
 
-void group_terms::OnPromotionAnswered(const promotion_answered& answer,
-                                      instant now, effect_list& effects) {
+void group_terms::LogPromotionAnswer(const promotion_answered& answer,
+                                     effect_list& effects) {
   last_promotion_answer_ = answer;
   const bool accepted = answer.outcome == promotion_outcome::kAccepted;
   Log(effects, accepted ? log_level::kInfo : log_level::kWarning,
@@ -40,7 +40,6 @@
       "attempt " + std::to_string(promotion_attempts_) + ": " +
           Describe(answer),
       answer.endpoint);
-  AdvanceChange(now, effects);
 }
 
 change_stage group_terms::Stage(instant now) const {
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -95,7 +95,6 @@
   if (!record_known_) {
     return;
   }
-  RecordPromotion(*view);
   if (state.term > Term()) {
     // Where one instance writes the first record, the watch delivers it. Reads
     // of all groups by all instances until then would overload the store.
@@ -218,8 +217,11 @@
   replication_stalled_ = false;
   moved_.clear();
   majority_moved_.reset();
-  promoted_ = false;
+  promoted_.reset();
+  candidacies_.clear();
   next_promotion_ = {};
+  next_choice_ = {};
+  retry_delay_ = {};
   promotion_attempts_ = 0;
   last_promotion_answer_.reset();
   for (auto& [id, view] : endpoints_) {
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -244,6 +244,15 @@
     instant last_progress_at{};
   };
 
+  /// What became of the requests to promote an endpoint, in one change.
+  struct candidacy {
+    bool in_flight = false;
+    instant requested_at{};
+    std::optional<instant> accepted_at;
+    /// Other candidates are tried first.
+    bool given_up = false;
+  };
+
   // Endpoint state (group_terms.cc).
   void OnLogPosition(endpoint_view& view, instant sent_at,
                      const endpoint_state& state, instant now);
@@ -321,12 +330,19 @@
   /// Hands the group back if its primary has returned in time. Returns whether
   /// it does.
   bool HandBackIfReturned(instant now, effect_list& effects);
+  void OnNoCandidate(endpoint_id present, instant now, effect_list& effects);
+  bool IsEligible(const endpoint_view& view, endpoint_id present) const;
+  bool IsCandidateGivenUp() const;
+  duration NextRetryDelay();
   void RequestPromotion(instant now, effect_list& effects);
-  void RecordPromotion(const endpoint_view& view);
+  void ReviewCandidate(instant now);
+  void FindPromoted();
   void OnNewerTermSeen(term_number log_term, instant now);
   void OpenPromoted(instant now, effect_list& effects);
-  void ResumePromotion(instant now, effect_list& effects);
+  void ResumePromotion(instant now);
 
+  void LogPromotionAnswer(const promotion_answered& answer,
+                          effect_list& effects);
   /// What the group is waiting for (change_progress.cc).
   change_stage Stage(instant now) const;
   change_stage StageOfStep(instant now) const;
@@ -375,7 +391,8 @@
   /// Answers of the witnesses that were moved to the sealed term.
   std::map<endpoint_id, endpoint_state> moved_;
   std::optional<instant> majority_moved_;
-  bool promoted_ = false;
+  /// The endpoint that reports itself as the primary of the next term.
+  std::optional<endpoint_id> promoted_;
   std::optional<instant> write_gap_since_;
 
   // Promotion by the platform.
@@ -395,7 +412,10 @@
   instant next_membership_end_{};
   std::uint64_t fence_ = 0;
   instant duty_until_{};
+  std::map<endpoint_id, candidacy> candidacies_;
   instant next_promotion_{};
+  instant next_choice_{};
+  duration retry_delay_{};
   std::uint32_t promotion_attempts_ = 0;
   /// The answer to the last attempt; empty until it arrives.
   std::optional<promotion_answered> last_promotion_answer_;
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -30,15 +30,21 @@
 /// Additional time for all replicas to report their log positions before a
 /// candidate is chosen from those that have.
 constexpr duration kReplicaReportTimeout = std::chrono::milliseconds(60);
-/// Interval between requests for a promotion, which takes up to 1 s.
-constexpr duration kPromotionRequestInterval = std::chrono::milliseconds(2500);
+/// Time for an accepted promotion to take effect, which is some hundred
+/// milliseconds, and to be reported by the candidate.
+constexpr duration kPromotionEffectTimeout = std::chrono::milliseconds(2000);
+/// Delays before a request that had no effect is repeated, and before the
+/// candidates that were given up are tried again. Each is twice the one before.
+constexpr duration kMinRetryDelay = std::chrono::milliseconds(100);
+constexpr duration kMaxRetryDelay = std::chrono::milliseconds(3200);
 /// Upper bound on a promotion request and its answer. No request is started
 /// if the duty may lapse within this time.
 constexpr duration kDutyMargin = std::chrono::milliseconds(1100);
 /// Time for a record to arrive after endpoints have reported a later term.
 /// After that, this instance suspects the primary.
 constexpr duration kLaterTermTimeout = std::chrono::milliseconds(500);
-/// Time after which a candidate that is not promoted is replaced by another.
+/// Time after which a candidate whose promotion the platform has not accepted
+/// is replaced by another.
 constexpr duration kCandidateTimeout = std::chrono::milliseconds(4000);
 
 }  // namespace
@@ -156,11 +162,12 @@
 
 void group_terms::AdvancePromotion(instant now, effect_list& effects) {
   SendRecord(now, effects);
+  FindPromoted();
   if (HandBackIfReturned(now, effects)) {
     return;
   }
-  if (step_ == step::kMoving) {
-    if (!record_.record.candidate_chosen) {
+  if (step_ == step::kMoving && !promoted_) {
+    if (!record_.record.candidate_chosen || IsCandidateGivenUp()) {
       ChooseForPromotion(now, effects);
       return;
     }
@@ -170,6 +177,11 @@
   OpenPromoted(now, effects);
 }
 
+bool group_terms::IsCandidateGivenUp() const {
+  const auto found = candidacies_.find(record_.record.candidate);
+  return found != candidacies_.end() && found->second.given_up;
+}
+
 endpoint_id group_terms::PresentPrimary() const {
   endpoint_id present;
   log_point end;
@@ -233,8 +245,8 @@
   }
   const bool chosen = record_.record.candidate_chosen;
   const bool is_asked = chosen && present == record_.record.candidate;
-  const bool is_excluded =
-      chosen || IsPlanned() || reason_ == reason::kNotReplicating;
+  const bool is_excluded = (chosen && !IsCandidateGivenUp()) || IsPlanned() ||
+                           reason_ == reason::kNotReplicating;
   if (is_excluded && !is_asked) {
     return false;
   }
@@ -242,23 +254,30 @@
   return true;
 }
 
+bool group_terms::IsEligible(const endpoint_view& view,
+                             endpoint_id present) const {
+  const endpoint_id id = view.spec.Id();
+  const auto known = candidacies_.find(id);
+  const bool given_up = known != candidacies_.end() && known->second.given_up;
+  // For the present primary, the platform changes nothing.
+  return id != Primary() && id != present && !given_up &&
+         !view.unreachable_since.has_value();
+}
+
 void group_terms::ChooseForPromotion(instant now, effect_list& effects) {
-  const endpoint_id present = PresentPrimary();
-  if (!NoOtherServes(now)) {
+  if (!NoOtherServes(now) || now < next_choice_) {
     return;
   }
+  const endpoint_id present = PresentPrimary();
   endpoint_id best;
   std::pair<bool, log_point> best_rank;
   bool complete = true;
   for (const auto& [id, view] : endpoints_) {
-    const bool answered = view.state_sampled_at.has_value() &&
-                          *view.state_sampled_at >= step_since_;
-    // For the present primary, the platform changes nothing.
-    if (id == Primary() || id == present ||
-        view.unreachable_since.has_value()) {
+    if (!IsEligible(view, present)) {
       continue;
     }
-    if (!answered) {
+    if (!view.state_sampled_at.has_value() ||
+        *view.state_sampled_at < step_since_) {
       complete = false;
       continue;
     }
@@ -281,9 +300,7 @@
     return;
   }
   if (best == endpoint_id{}) {
-    if (present != endpoint_id{} && MayDrive(now)) {
-      HandBack(present, now, effects);
-    }
+    OnNoCandidate(present, now, effects);
     return;
   }
   group_record next = record_.record;
@@ -300,43 +317,108 @@
   StartRecordWrite(std::move(next), step::kChoosing, now, effects);
 }
 
-void group_terms::RequestPromotion(instant now, effect_list& effects) {
-  if (promoted_ || now < next_promotion_ || !MayDrive(now) ||
-      !NoOtherServes(now)) {
+/// Opens the old term again where nothing else is left. Otherwise lets the
+/// candidates that were given up be tried again after a while.
+void group_terms::OnNoCandidate(endpoint_id present, instant now,
+                                effect_list& effects) {
+  if (present != endpoint_id{} && MayDrive(now)) {
+    HandBack(present, now, effects);
     return;
   }
-  const endpoint_view* const view = View(record_.record.candidate);
-  if (view == nullptr) {
+  const auto any_given_up =
+      std::any_of(candidacies_.begin(), candidacies_.end(),
+                  [](const auto& entry) { return entry.second.given_up; });
+  if (!any_given_up) {
+    return;
+  }
+  for (auto& [id, known] : candidacies_) {
+    known.given_up = false;
+  }
+  next_choice_ = now + NextRetryDelay();
+}
+
+duration group_terms::NextRetryDelay() {
+  retry_delay_ = std::clamp(2 * retry_delay_, kMinRetryDelay, kMaxRetryDelay);
+  return retry_delay_;
+}
+
+void group_terms::RequestPromotion(instant now, effect_list& effects) {
+  const endpoint_id candidate = record_.record.candidate;
+  if (promoted_ || now < next_promotion_ || View(candidate) == nullptr ||
+      !MayDrive(now) || !NoOtherServes(now)) {
     return;
   }
-  RecordPromotion(*view);
-  if (promoted_) {
+  candidacy& request = candidacies_[candidate];
+  if (request.given_up || request.accepted_at.has_value() ||
+      (request.in_flight && now - request.requested_at < kDutyMargin)) {
     return;
   }
-  next_promotion_ = now + kPromotionRequestInterval;
+  request.in_flight = true;
+  request.requested_at = now;
   ++promotion_attempts_;
   last_promotion_answer_.reset();
   Log(effects, log_level::kInfo, "group.promote",
       "attempt " + std::to_string(promotion_attempts_) +
           ": asking the platform, fence " + std::to_string(fence_),
-      record_.record.candidate);
-  effects.emplace_back(
-      promote_endpoint{record_.record.candidate, Term(), fence_});
+      candidate);
+  effects.emplace_back(promote_endpoint{candidate, Term(), fence_});
 }
 
-/// Records that the candidate reports itself as primary, and the position at
-/// which its term begins.
-void group_terms::RecordPromotion(const endpoint_view& view) {
-  const bool is_awaited = step_ == step::kPromoting && !promoted_ &&
-                          !service_.term_bound &&
-                          view.spec.Id() == record_.record.candidate;
-  const endpoint_state& state = view.state;
-  if (!is_awaited || state.role != endpoint_role::kPrimary ||
-      state.term <= LogTerm()) {
-    return;
+void group_terms::OnPromotionAnswered(const promotion_answered& answer,
+                                      instant now, effect_list& effects) {
+  LogPromotionAnswer(answer, effects);
+  candidacy& request = candidacies_[answer.endpoint];
+  request.in_flight = false;
+  switch (answer.outcome) {
+    case promotion_outcome::kAccepted:
+      request.accepted_at = now;
+      break;
+    case promotion_outcome::kNotRunning:
+      request.given_up = true;
+      break;
+    case promotion_outcome::kOverLimit:
+    case promotion_outcome::kNotSent:
+    case promotion_outcome::kUnknown:
+      next_promotion_ = now + NextRetryDelay();
+      break;
+  }
+  AdvanceChange(now, effects);
+}
+
+/// Gives the candidate up if it can't be promoted: it is out of reach, the
+/// platform refuses it, or its promotion does not take effect.
+void group_terms::ReviewCandidate(instant now) {
+  const endpoint_id candidate = record_.record.candidate;
+  const endpoint_view* const view = View(candidate);
+  candidacy& request = candidacies_[candidate];
+  const bool lost = view == nullptr ||
+                    (view->unreachable_since.has_value() &&
+                     now - *view->unreachable_since >= options_.takeover_delay);
+  const bool without_effect =
+      request.accepted_at.has_value()
+          ? now - *request.accepted_at >= kPromotionEffectTimeout
+          : now - step_since_ >= kCandidateTimeout;
+  if (lost || without_effect || request.given_up) {
+    request.given_up = true;
+    request.accepted_at.reset();
+    EnterStep(step::kMoving, now);
+  }
+}
+
+/// Looks for a database that reports itself as the primary of a term after the
+/// last open one, be it the candidate or another whose promotion took effect
+/// late. The newest of them is the primary.
+void group_terms::FindPromoted() {
+  for (const auto& [id, view] : endpoints_) {
+    const endpoint_state& state = view.state;
+    const term_number newest =
+        promoted_.has_value() ? promoted_fork_.term : LogTerm();
+    if (view.state_sampled_at.has_value() &&
+        state.role == endpoint_role::kPrimary && state.term > newest) {
+      promoted_ = id;
+      promoted_fork_ = {state.term, LogTerm(), state.received_point.position};
+    }
   }
-  promoted_ = true;
-  promoted_fork_ = {state.term, LogTerm(), state.received_point.position};
 }
 
 /// Reacts to an endpoint's log in a later term than that of the open record: a
@@ -357,20 +439,22 @@
   if (!promoted_ || !NoOtherServes(now)) {
     return;
   }
-  // Not before: until the candidate leads, the old primary may be handed the
+  // Not before: until a later primary leads, the old one may be handed the
   // group back.
-  if (View(Primary()) != nullptr && record_.record.candidate != Primary()) {
+  if (View(Primary()) != nullptr && *promoted_ != Primary()) {
     effects.emplace_back(move_endpoint{Primary(), promoted_fork_.term, false});
   }
   group_record next = record_.record;
   next.term = promoted_fork_.term;
-  next.primary = next.candidate;
+  next.primary = *promoted_;
+  next.candidate = *promoted_;
+  next.candidate_chosen = true;
   next.phase = group_phase::kOpen;
   next.forks.Append(promoted_fork_);
   StartRecordWrite(std::move(next), step::kOpening, now, effects);
 }
 
-void group_terms::ResumePromotion(instant now, effect_list& effects) {
+void group_terms::ResumePromotion(instant now) {
   if (!MayDrive(now)) {
     return;
   }
@@ -383,14 +467,8 @@
               now);
     return;
   }
-  const endpoint_view* const candidate = View(record.candidate);
-  const bool lost =
-      candidate == nullptr ||
-      (candidate->unreachable_since.has_value() &&
-       now - *candidate->unreachable_since >= options_.takeover_delay);
-  const bool timed_out = now - step_since_ >= kCandidateTimeout;
-  if (step_ == step::kPromoting && !promoted_ && (lost || timed_out)) {
-    StartSealing(reason::kUnreachable, endpoint_id{}, now, effects);
+  if (step_ == step::kPromoting && !promoted_) {
+    ReviewCandidate(now);
   }
 }
 
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -245,7 +245,7 @@
       answer.state.role != endpoint_role::kPrimary) {
     return;
   }
-  promoted_ = true;
+  promoted_ = answer.endpoint;
   AdvanceChange(now, effects);
 }
 
@@ -328,7 +328,7 @@
 
 void group_terms::ResumeChange(instant now, effect_list& effects) {
   if (!service_.term_bound) {
-    ResumePromotion(now, effects);
+    ResumePromotion(now);
     return;
   }
   const group_record& record = record_.record;
