Send no promotion request late

Cause: the duty and the clock were checked when the call was queued, not when it was sent; and a connection that was given up was closed in order, so that bytes held by a partition were still delivered when it healed.

Change: a request names the time until which it may be sent: 500 ms, and not within the margin of the duty's end. It is checked last, after a new connection was made for the call, so that a platform out of reach gets no request at all. Connections discard what they hold when they are closed.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -108,6 +108,9 @@
   term_number term = 0;
   /// Fencing token of the duty; 0 if the platform has no duty.
   std::uint64_t fence = 0;
+  /// The request is not sent later than this: the duty may have passed on, or
+  /// another endpoint may have been chosen.
+  instant send_until = instant::max();
 };
 
 // Effects on the platform's key-value service.
--- a/include/marjoramslip/kv/http_channel.h
+++ b/include/marjoramslip/kv/http_channel.h
@@ -33,6 +33,8 @@
   std::string path;       ///< Includes the query, if any.
   std::string body = {};  ///< JSON; may be empty.
   std::vector<std::pair<std::string, std::string>> headers = {};
+  /// By BootTime. A request that could not be sent until then is not sent.
+  instant send_until = instant::max();
 };
 
 /// A connection that separates connecting from sending, so that callers can
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -43,6 +43,8 @@
 /// Time for a record to arrive after endpoints have reported a later term.
 /// After that, this instance suspects the primary.
 constexpr duration kLaterTermTimeout = std::chrono::milliseconds(500);
+/// Time within which a request must be sent.
+constexpr duration kSendLimit = std::chrono::milliseconds(500);
 /// Time after which a candidate whose promotion the platform has not accepted
 /// is replaced by another.
 constexpr duration kCandidateTimeout = std::chrono::milliseconds(4000);
@@ -361,7 +363,9 @@
       "attempt " + std::to_string(promotion_attempts_) +
           ": asking the platform, fence " + std::to_string(fence_),
       candidate);
-  effects.emplace_back(promote_endpoint{candidate, Term(), fence_});
+  effects.emplace_back(
+      promote_endpoint{candidate, Term(), fence_,
+                       std::min(now + kSendLimit, duty_until_ - kDutyMargin)});
 }
 
 void group_terms::OnPromotionAnswered(const promotion_answered& answer,
--- a/lib/kv/http_channel.cc
+++ b/lib/kv/http_channel.cc
@@ -13,6 +13,8 @@
 #include <ostream>
 #include <utility>
 
+#include "marjoramslip/base/clock.h"
+
 namespace marjoramslip::kv {
 namespace {
 
@@ -46,6 +48,9 @@
   }
   SetIoTimeout(timeout);
   reconnect();
+  // A request that was given up must not be delivered later, as a partition
+  // would when it heals: closing discards what the connection still holds.
+  socket().setLinger(true, 0);
 }
 
 bool http_session::IsStale() {
@@ -201,6 +206,9 @@
       address = session.address;
       session.connection->Connect(RemainingUntil(end) /
                                   static_cast<int>(attempts));
+      if (BootTime() > request.send_until) {
+        return Fail(error_kind::kUnavailable, "it was not sent in time");
+      }
       may_have_sent = true;
       http_reply reply = [&] {
         const active_session_guard guard(*this, *session.connection);
--- /dev/null
+++ b/unittests/kv/http_channel_test.cc
@@ -0,0 +1,63 @@
+// Tests of calls that are given up.
+
+#include "marjoramslip/kv/http_channel.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <chrono>
+
+#include "marjoramslip/base/attempt.h"
+#include "marjoramslip/base/clock.h"
+#include "story.h"
+
+namespace marjoramslip::kv {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How the sender ended a connection.
+enum class connection_end { kClosed, kReset };
+
+connection_end ReadToEnd(Poco::Net::StreamSocket& socket) {
+  std::array<char, 1024> buffer{};
+  try {
+    while (socket.receiveBytes(buffer.data(), buffer.size()) > 0) {
+    }
+  } catch (const Poco::Net::ConnectionResetException&) {
+    return connection_end::kReset;
+  }
+  return connection_end::kClosed;
+}
+
+}  // namespace
+
+// Guards against a request that a partition holds and delivers once its sender
+// has given it up.
+Test(http_channel, a_request_that_is_given_up_is_not_delivered_later) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  http_channel channel({{"127.0.0.1", server.address().port()}},
+                       milliseconds(100));
+  const auto reply = Attempt(
+      [&] { return channel.Post("/promote", "{}", request_effect::kWrites); });
+  EXPECT(reply.Failed(error_kind::kUnknown));
+  Poco::Net::StreamSocket accepted = server.acceptConnection();
+  EXPECT(ReadToEnd(accepted) == connection_end::kReset);
+}
+
+Test(http_channel, a_request_that_is_too_late_is_not_sent) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  http_channel channel({{"127.0.0.1", server.address().port()}},
+                       milliseconds(100));
+  const auto reply = Attempt([&] {
+    return channel.Call({.path = "/promote",
+                         .body = "{}",
+                         .send_until = BootTime() - milliseconds(1)},
+                        request_effect::kWrites);
+  });
+  EXPECT(reply.Failed(error_kind::kUnavailable));
+}
+
+}  // namespace marjoramslip::kv
--- a/unittests/platform/store_test.cc
+++ b/unittests/platform/store_test.cc
@@ -9,6 +9,7 @@
 #include "http_store.h"
 #include "kv/fake_gateway.h"
 #include "marjoramslip/base/attempt.h"
+#include "marjoramslip/base/clock.h"
 #include "promotions.h"
 #include "recording_loop.h"
 #include "story.h"
@@ -185,11 +186,13 @@
   });
   shell::recording_loop loop;
   const auto promote = [&loop](const kv::http_address& platform,
-                               const char* name) {
+                               const char* name,
+                               instant send_until = instant::max()) {
     const auto promoter = MakePromoter(platform, "one", loop);
     promote_endpoint promotion;
     promotion.endpoint = IdOf<endpoint_id>(name);
     promotion.fence = 3;
+    promotion.send_until = send_until;
     promoter->Promote("svc", name, promotion);
     return loop.Await<promotion_answered>(
         [&](const promotion_answered& answer) {
@@ -218,6 +221,13 @@
     REQUIRE(answer.has_value());
     EXPECT(answer->outcome == promotion_outcome::kOverLimit);
   }
+  SECTION("a request that could not be sent in time") {
+    const auto answer =
+        promote(ParseAddress(gateway), "db-late", BootTime() - milliseconds(1));
+    REQUIRE(answer.has_value());
+    EXPECT(answer->outcome == promotion_outcome::kNotSent);
+    EXPECT(gateway.Requests().size() == 4);
+  }
   SECTION("a platform that can't be reached") {
     const auto answer = promote({"127.0.0.1", 1}, "db-far");
     REQUIRE(answer.has_value());
