Acknowledge no write while a promotion that was given up may have taken effect

A promotion whose outcome is unknown - no answer, accepted without effect, asked for by a holder of the duty that vanished - was forgotten once another candidate was chosen.

Cause: the argument for a change of primary orders the seal before the call, and says nothing of a call that outlives the change.

Change: the record names the databases that such a request may still make primary. While it does, at most promotion_effect_limit (8 s) from when an instance first saw the entry, a write is acknowledged only once each of them has reported, in answer to a request sent after the write's answer, that no term later than the record's has begun there. So a promotion that took effect before the commit is seen before the acknowledgement. A candidate that was given up is not preferred any more when the next is chosen.

The list is left out of the record while it is empty, so earlier builds can read records then; a record with entries they reject, and wait for the next.

--- a/include/marjoramslip/core/group_record.h
+++ b/include/marjoramslip/core/group_record.h
@@ -4,6 +4,7 @@
 #ifndef MARJORAMSLIP_CORE_GROUP_RECORD_H_
 #define MARJORAMSLIP_CORE_GROUP_RECORD_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +21,17 @@
   kSealed,    ///< `term` is decided; its primary accepts no writes yet.
 };
 
+/// A request for a promotion whose outcome is not known: it may still take
+/// effect.
+struct unsettled_promotion {
+  /// The id of the endpoint's identity, under which the platform knows it.
+  endpoint_id target;
+  /// The revision of the record under which it was last given up.
+  std::uint64_t revision = 0;
+
+  auto operator<=>(const unsettled_promotion&) const = default;
+};
+
 /// The agreed state of one group: its term, primary and phase. Changes only
 /// by compare-and-swap on its revision.
 struct group_record {
@@ -39,6 +51,8 @@
   /// The witnesses: the endpoints whose majority decides a term. Fixed for each
   /// term.
   std::vector<endpoint_id> witnesses;
+  /// Promotions that may still take effect while another endpoint leads.
+  std::vector<unsettled_promotion> unsettled;
   /// Unique for each write. It shows whether a compare-and-swap took effect
   /// when its answer was lost.
   std::uint64_t writer = 0;
--- a/include/marjoramslip/core/options.h
+++ b/include/marjoramslip/core/options.h
@@ -38,6 +38,10 @@
   /// How long a promoter waits for other instances' serving leases to expire if
   /// those that do not acknowledge may be a majority.
   duration majority_lease_wait = std::chrono::milliseconds(8400);
+  /// How long after it was given up a request for a promotion may still take
+  /// effect: a call that the platform keeps for seconds, and the promotion
+  /// itself.
+  duration promotion_effect_limit = std::chrono::milliseconds(8000);
   /// Time between probes of an endpoint without other traffic.
   duration probe_interval = std::chrono::milliseconds(100);
   /// Time between probes while a request waits for a position.
--- a/include/marjoramslip/json/fields.h
+++ b/include/marjoramslip/json/fields.h
@@ -171,13 +171,16 @@
   RefuseUnknown(*source, known, at);
 }
 
-/// Writes an object with all its members.
+/// Writes an object with all its members but those whose value is empty.
 template <typename object>
 Var WriteObject(const shape<object>& fields, const object& from) {
   Poco::JSON::Object::Ptr target =
       new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
   for (const field<object>& one : fields) {
-    target->set(std::string(one.key), one.write(from));
+    Var value = one.write(from);
+    if (!value.isEmpty()) {
+      target->set(std::string(one.key), value);
+    }
   }
   return target;
 }
--- a/lib/core/answer_release.cc
+++ b/lib/core/answer_release.cc
@@ -60,7 +60,10 @@
 ack_state EvaluateRelease(const core_state& core, const group_state& group,
                           const request_state& request) {
   if (request.is_write) {
-    return group.terms.WriteAckState(request.answer_point, core.now);
+    const bool has_waited = request.answered_at >= request.sent_at;
+    return group.terms.WriteAckState(
+        request.answer_point, has_waited ? request.answered_at : core.now,
+        core.now);
   }
   // A read is current while its term is the present one.
   if (request.term != group.terms.Term()) {
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -89,6 +89,7 @@
   if (!view->state_sampled_at.has_value() ||
       sent_at >= *view->state_sampled_at) {
     view->state_sampled_at = sent_at;
+    view->own_state_sampled_at = sent_at;
     view->log_sampled_at = std::max(view->log_sampled_at, sent_at);
     view->state = state;
   }
@@ -96,6 +97,9 @@
     return;
   }
   if (state.term > Term()) {
+    if (!service_.term_bound && state.role == endpoint_role::kPrimary) {
+      OnNewerTermSeen(state.term, now);
+    }
     // Where one instance writes the first record, the watch delivers it. Reads
     // of all groups by all instances until then would overload the store.
     const bool first_awaited = !service_.term_bound && record_.revision == 0;
@@ -185,6 +189,8 @@
   newer_term_since_.reset();
   // Another instance's write supersedes the step in progress here.
   step_ = step::kIdle;
+  candidate_given_up_ = false;
+  FollowUnsettled(now);
   if (Term() != old_term || Open()) {
     phase_since_ = now;
     phase_revision_ = record_.revision;
@@ -281,13 +287,17 @@
          Forks().Contains(view->state.Point(), point);
 }
 
-ack_state group_terms::WriteAckState(log_point point, instant now) const {
+ack_state group_terms::WriteAckState(log_point point, instant answered_at,
+                                     instant now) const {
   if (!HoldsPermit(now)) {
     return ack_state::kWait;
   }
   if (IsBeyondFork(point)) {
     return ack_state::kLost;
   }
+  if (!NonePromotedBefore(answered_at, now)) {
+    return ack_state::kWait;
+  }
   // A write of an earlier term is in the open term's log unless it is beyond
   // the fork.
   if (service_.ack == ack_policy::kPrimary) {
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -32,6 +32,9 @@
   endpoint_state state;
   /// Sampling time of the newest full state; empty before the first.
   std::optional<instant> state_sampled_at;
+  /// Sampling time of the newest full state that it reported to this instance,
+  /// as opposed to one that another instance passed on.
+  std::optional<instant> own_state_sampled_at;
   /// Sampling time of the newest log position.
   instant log_sampled_at{};
   instant last_received_at{};
@@ -179,8 +182,13 @@
   /// hold at `now`.
   std::optional<log_point> SampleSince(instant since, instant now);
 
-  /// Returns whether a write that ended at `point` may be acknowledged now.
-  ack_state WriteAckState(log_point point, instant now) const;
+  /// Returns whether a write that ended at `point`, and whose answer arrived at
+  /// `answered_at`, may be acknowledged now.
+  ack_state WriteAckState(log_point point, instant answered_at,
+                          instant now) const;
+  /// True if another database may still become the primary by a request whose
+  /// outcome is unknown. Writes then need its state.
+  bool HasUnsettledPromotion(instant now) const;
 
   /// True if `floor` is beyond a fork of the known history. Final only under a
   /// permit: a later term may continue the log that contains it.
@@ -249,6 +257,9 @@
     bool in_flight = false;
     instant requested_at{};
     std::optional<instant> accepted_at;
+    /// A request may still take effect: it was not answered, or it was accepted
+    /// and has had no effect.
+    bool may_take_effect = false;
     /// Other candidates are tried first.
     bool given_up = false;
   };
@@ -332,10 +343,16 @@
   bool HandBackIfReturned(instant now, effect_list& effects);
   void OnNoCandidate(endpoint_id present, instant now, effect_list& effects);
   bool IsEligible(const endpoint_view& view, endpoint_id present) const;
-  bool IsCandidateGivenUp() const;
   duration NextRetryDelay();
   void RequestPromotion(instant now, effect_list& effects);
   void ReviewCandidate(instant now);
+  // Promotions that may still take effect (unsettled_promotions.cc).
+  void FollowUnsettled(instant now);
+  bool IsUnsettled(const endpoint_view& view, instant now) const;
+  /// Returns the list for the next record of the group.
+  std::vector<unsettled_promotion> NextUnsettled(instant now) const;
+  /// True if no unsettled promotion had taken effect at `time`.
+  bool NonePromotedBefore(instant time, instant now) const;
   void FindPromoted();
   void OnNewerTermSeen(term_number log_term, instant now);
   void OpenPromoted(instant now, effect_list& effects);
@@ -413,6 +430,10 @@
   std::uint64_t fence_ = 0;
   instant duty_until_{};
   std::map<endpoint_id, candidacy> candidacies_;
+  /// The candidate of the record was given up; another one has to be chosen.
+  bool candidate_given_up_ = false;
+  /// Since when each unsettled promotion has been known here.
+  std::map<unsettled_promotion, instant> unsettled_since_;
   instant next_promotion_{};
   instant next_choice_{};
   duration retry_delay_{};
--- a/lib/core/groups.cc
+++ b/lib/core/groups.cc
@@ -202,7 +202,8 @@
   // obtain a permit.
   const bool awaits_replica =
       !group.awaiting_release.empty() || !group.awaiting_position.empty();
-  if (!has_permit || (group.terms.Service().term_bound && awaits_replica)) {
+  if (!has_permit || group.terms.HasUnsettledPromotion(core.now) ||
+      (group.terms.Service().term_bound && awaits_replica)) {
     group.terms.RequestReplicaPositions();
   }
   group.terms.SendProbes(core.now, *core.effects);
@@ -218,8 +219,9 @@
   }
   const bool has_permit = group.terms.HoldsPermit(core.now);
   const bool needs_evidence = !has_permit || SampleIsDue(core, group);
-  const bool relayed = needs_evidence && RelayedSampleSuffices(core, group) &&
-                       RequestEvidence(core, group);
+  const bool relayed =
+      needs_evidence && !group.terms.HasUnsettledPromotion(core.now) &&
+      RelayedSampleSuffices(core, group) && RequestEvidence(core, group);
   if (!relayed) {
     ProbeForUpdates(core, group, has_permit && !peers_wait);
   }
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -43,8 +43,10 @@
 /// Time for a record to arrive after endpoints have reported a later term.
 /// After that, this instance suspects the primary.
 constexpr duration kLaterTermTimeout = std::chrono::milliseconds(500);
-/// Time within which a request must be sent.
+/// Time within which a request must be sent, and within which it is answered
+/// or given up.
 constexpr duration kSendLimit = std::chrono::milliseconds(500);
+constexpr duration kRequestLimit = kSendLimit + kDutyMargin;
 /// Time after which a candidate whose promotion the platform has not accepted
 /// is replaced by another.
 constexpr duration kCandidateTimeout = std::chrono::milliseconds(4000);
@@ -169,7 +171,7 @@
     return;
   }
   if (step_ == step::kMoving && !promoted_) {
-    if (!record_.record.candidate_chosen || IsCandidateGivenUp()) {
+    if (!record_.record.candidate_chosen || candidate_given_up_) {
       ChooseForPromotion(now, effects);
       return;
     }
@@ -179,11 +181,6 @@
   OpenPromoted(now, effects);
 }
 
-bool group_terms::IsCandidateGivenUp() const {
-  const auto found = candidacies_.find(record_.record.candidate);
-  return found != candidacies_.end() && found->second.given_up;
-}
-
 endpoint_id group_terms::PresentPrimary() const {
   endpoint_id present;
   log_point end;
@@ -228,6 +225,7 @@
   next.primary = present;
   next.candidate = present;
   next.candidate_chosen = true;
+  next.unsettled = NextUnsettled(now);
   // A database that restarted has another id and the same log.
   if (!endpoints_.contains(record_.record.primary)) {
     std::replace(next.witnesses.begin(), next.witnesses.end(),
@@ -247,7 +245,7 @@
   }
   const bool chosen = record_.record.candidate_chosen;
   const bool is_asked = chosen && present == record_.record.candidate;
-  const bool is_excluded = (chosen && !IsCandidateGivenUp()) || IsPlanned() ||
+  const bool is_excluded = (chosen && !candidate_given_up_) || IsPlanned() ||
                            reason_ == reason::kNotReplicating;
   if (is_excluded && !is_asked) {
     return false;
@@ -287,7 +285,8 @@
     const std::pair<bool, log_point> rank = {
         !view.spec.leaving,
         std::max(view.state.received_point, view.state.Point())};
-    const bool preferred = id == record_.record.candidate;
+    const bool preferred =
+        id == record_.record.candidate && !record_.record.candidate_chosen;
     if (current && (best == endpoint_id{} || preferred || rank > best_rank)) {
       best = id;
       best_rank = rank;
@@ -309,6 +308,7 @@
   next.candidate = best;
   next.candidate_chosen = true;
   next.candidate_point = best_rank.second;
+  next.unsettled = NextUnsettled(now);
   Log(effects, log_level::kInfo, "group.candidate",
       "received up to " + FormatLogPoint(best_rank.second) + ", state " +
           FormatEndpointState(View(best)->state) +
@@ -352,9 +352,10 @@
   }
   candidacy& request = candidacies_[candidate];
   if (request.given_up || request.accepted_at.has_value() ||
-      (request.in_flight && now - request.requested_at < kDutyMargin)) {
+      (request.in_flight && now - request.requested_at < kRequestLimit)) {
     return;
   }
+  request.may_take_effect = request.may_take_effect || request.in_flight;
   request.in_flight = true;
   request.requested_at = now;
   ++promotion_attempts_;
@@ -380,9 +381,11 @@
     case promotion_outcome::kNotRunning:
       request.given_up = true;
       break;
+    case promotion_outcome::kUnknown:
+      request.may_take_effect = true;
+      [[fallthrough]];
     case promotion_outcome::kOverLimit:
     case promotion_outcome::kNotSent:
-    case promotion_outcome::kUnknown:
       next_promotion_ = now + NextRetryDelay();
       break;
   }
@@ -404,6 +407,9 @@
           : now - step_since_ >= kCandidateTimeout;
   if (lost || without_effect || request.given_up) {
     request.given_up = true;
+    candidate_given_up_ = true;
+    request.may_take_effect = request.may_take_effect || request.in_flight ||
+                              request.accepted_at.has_value();
     request.accepted_at.reset();
     EnterStep(step::kMoving, now);
   }
@@ -454,6 +460,8 @@
   next.candidate = *promoted_;
   next.candidate_chosen = true;
   next.phase = group_phase::kOpen;
+  candidacies_[*promoted_].accepted_at.reset();
+  next.unsettled = NextUnsettled(now);
   next.forks.Append(promoted_fork_);
   StartRecordWrite(std::move(next), step::kOpening, now, effects);
 }
@@ -466,6 +474,10 @@
   if (step_ == step::kIdle) {
     reason_ = record.phase == group_phase::kDraining ? reason::kPlanned
                                                      : reason::kUnreachable;
+    if (record.candidate_chosen) {
+      // Another instance, or this one before, may have requested it.
+      candidacies_[record.candidate].may_take_effect = true;
+    }
     EnterStep(record.phase == group_phase::kDraining ? step::kDraining
                                                      : step::kMoving,
               now);
--- a/lib/core/record_codec.cc
+++ b/lib/core/record_codec.cc
@@ -71,6 +71,27 @@
   return {read, write};
 }
 
+const json::shape<unsettled_promotion>& UnsettledShape() {
+  using s = unsettled_promotion;
+  static const json::shape<s> kShape = {
+      Field("target", &s::target, EndpointCodec(), presence::kRequired),
+      Field("revision", &s::revision, Integer<std::uint64_t>(),
+            presence::kRequired),
+  };
+  return kShape;
+}
+
+/// The member is absent if the list is empty, so that builds that do not know
+/// it can read the record.
+json::codec<std::vector<unsettled_promotion>> UnsettledCodec() {
+  const auto list =
+      json::List(json::Record(UnsettledShape()), 0, kMaxWitnesses);
+  auto write = [list](const std::vector<unsettled_promotion>& promotions) {
+    return promotions.empty() ? json::Var() : list.write(promotions);
+  };
+  return {list.read, write};
+}
+
 const json::shape<group_record>& RecordShape() {
   using s = group_record;
   const auto required = presence::kRequired;
@@ -90,6 +111,7 @@
       Field("forks", &s::forks, HistoryCodec(), required),
       Field("witnesses", &s::witnesses,
             json::List(EndpointCodec(), 0, kMaxWitnesses), required),
+      Field("unsettled", &s::unsettled, UnsettledCodec()),
       Field("writer", &s::writer, json::Hexadecimal(), required),
   };
   return kShape;
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -243,9 +243,12 @@
   const duration interval = service_.term_bound
                                 ? options_.probe_interval_waiting
                                 : options_.probe_interval;
+  // Only a full state shows whether a promotion has taken effect.
+  const bool full = service_.term_bound || IsUnsettled(view, now);
   const instant last_sampled_at =
-      std::max(view.state_sampled_at.value_or(instant{}),
-               service_.term_bound ? instant{} : view.log_sampled_at);
+      full ? view.own_state_sampled_at.value_or(instant{})
+           : std::max(view.state_sampled_at.value_or(instant{}),
+                      view.log_sampled_at);
   return last_sampled_at == instant{} || now - last_sampled_at >= interval;
 }
 
--- a/lib/peer/catalogue_codec.cc
+++ b/lib/peer/catalogue_codec.cc
@@ -185,6 +185,11 @@
   for (const endpoint_id witness : value.witnesses) {
     out.add_witnesses(witness.value);
   }
+  for (const unsettled_promotion& promotion : value.unsettled) {
+    proto::UnsettledPromotion& entry = *out.add_unsettled();
+    entry.set_target(promotion.target.value);
+    entry.set_revision(promotion.revision);
+  }
   out.set_writer(value.writer);
 }
 
@@ -202,6 +207,9 @@
   for (const std::uint64_t witness : in.witnesses()) {
     out.witnesses.push_back({witness});
   }
+  for (const proto::UnsettledPromotion& entry : in.unsettled()) {
+    out.unsettled.push_back({{entry.target()}, entry.revision()});
+  }
   out.writer = in.writer();
   return out;
 }
--- a/unittests/core/record_codec_test.cc
+++ b/unittests/core/record_codec_test.cc
@@ -29,6 +29,11 @@
         record.witnesses.push_back({id});
       }
     }
+    for (const auto id : *rc::gen::arbitrary<std::vector<std::uint64_t>>()) {
+      if (record.unsettled.size() < 64) {
+        record.unsettled.push_back({{id}, id / 2});
+      }
+    }
     record.writer = *rc::gen::arbitrary<std::uint64_t>();
     const auto parsed = ParseRecord(FormatRecord(record));
     RC_ASSERT(parsed.has_value());
@@ -37,6 +42,11 @@
   EXPECT(holds);
 }
 
+// Guards against records that builds before unsettled promotions can't read.
+Test(record_codec, no_unsettled_promotions_are_not_mentioned) {
+  EXPECT(FormatRecord({}).find("unsettled") == std::string::npos);
+}
+
 Test(record_codec, malformed_records_are_rejected) {
   const std::string valid = FormatRecord({});
   EXPECT(ParseRecord(valid).has_value());
--- a/unittests/peer/peer_codec_test.cc
+++ b/unittests/peer/peer_codec_test.cc
@@ -95,6 +95,9 @@
   for (const auto id : *rc::gen::arbitrary<std::vector<std::uint64_t>>()) {
     out.witnesses.push_back({id});
   }
+  for (const auto id : *rc::gen::arbitrary<std::vector<std::uint64_t>>()) {
+    out.unsettled.push_back({{id}, id / 2});
+  }
   out.writer = *rc::gen::arbitrary<std::uint64_t>();
   return out;
 }
