Follow a promotion that nobody awaited, also before its first write

Cause: a later term was noticed only by the last entry of a log in an answer to a statement. That entry tells the old term until the first write, and there was none, as all writes went to the old primary, which refused them as a replica; a refusal caused no look at its state. A full state that told a later term only led to reading the record again.

Change: a refusal as not writable by the recorded primary asks for its state, and a full state in a later term counts as the later term seen.

--- a/lib/core/answers.cc
+++ b/lib/core/answers.cc
@@ -43,6 +43,11 @@
   // endpoint is not the primary. The exception is a read that turned out to
   // need the primary; its connection is closed as well.
   endpoint_pool& pool = *core.Pool(connection.endpoint);
+  group_state& group = *core.Group(request.group);
+  if (connection.endpoint == group.terms.Primary()) {
+    // Its state shows whether another database has replaced it.
+    group.terms.RequestSample();
+  }
   CloseConnection(core, connection.id);
   if (request.in_transaction) {
     FailInTransaction(core, request);
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -97,7 +97,7 @@
     return;
   }
   if (state.term > Term()) {
-    if (!service_.term_bound && state.role == endpoint_role::kPrimary) {
+    if (!service_.term_bound) {
       OnNewerTermSeen(state.term, now);
     }
     // Where one instance writes the first record, the watch delivers it. Reads
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -354,7 +354,7 @@
   /// True if no unsettled promotion had taken effect at `time`.
   bool NonePromotedBefore(instant time, instant now) const;
   void FindPromoted();
-  void OnNewerTermSeen(term_number log_term, instant now);
+  void OnNewerTermSeen(term_number term, instant now);
   void OpenPromoted(instant now, effect_list& effects);
   void ResumePromotion(instant now);
 
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -431,11 +431,11 @@
   }
 }
 
-/// Reacts to an endpoint's log in a later term than that of the open record: a
+/// Reacts to an endpoint in a later term than that of the open record: a
 /// promotion took effect late or was made from elsewhere. The record is read
 /// again, and the primary is suspected if no newer record arrives in time.
-void group_terms::OnNewerTermSeen(term_number log_term, instant now) {
-  if (!record_known_ || !Open() || log_term <= Term()) {
+void group_terms::OnNewerTermSeen(term_number term, instant now) {
+  if (!record_known_ || !Open() || term <= Term()) {
     return;
   }
   record_read_requested_ = true;
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -212,7 +212,7 @@
     const bool unknown = !view.state_sampled_at.has_value() && !provided;
     const bool needed = unknown || view.new_connection_required ||
                         view.unreachable_since.has_value() ||
-                        step_ != step::kIdle;
+                        newer_term_since_.has_value() || step_ != step::kIdle;
     return needed ? view.next_probe : instant::max();
   }
   if (view.next_probe == instant{} || !view.state_sampled_at.has_value() ||
--- a/unittests/core/late_promotion_test.cc
+++ b/unittests/core/late_promotion_test.cc
@@ -98,6 +98,29 @@
   EXPECT(!world.IsReleased(write));
 }
 
+// Guards against a group that stays unusable because its record names a primary
+// that another has replaced, whose term has no entry yet.
+Test(late_promotion, is_followed) {
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  const request_id write =
+      world.SendStatement(statement_kind::kWrite, {}, kFreshCaller);
+  REQUIRE(world.IsInFlight(write));
+  // The answer tells the term of the last entry, which is the old one.
+  world.AnswerStatement(write, transaction_status::kIdle,
+                        answer_outcome::kNotWritable);
+  world.State("a") = {2, 2, 10, endpoint_role::kReplica};
+  world.State("c") = {2, 2, 10, endpoint_role::kReplica};
+  world.Promote("b", 2);
+  world.AdvanceTime(seconds(1));
+  REQUIRE(!world.written_records.empty());
+  EXPECT(world.written_records.back().phase == group_phase::kOpen);
+  EXPECT(world.written_records.back().primary == harness::Id("b"));
+  EXPECT(world.written_records.back().term == 2);
+  EXPECT(world.promotions.empty());
+  EXPECT(world.violations == 0);
+}
+
 // Guards against a record that forgets a request that may take effect.
 Test(late_promotion, is_recorded_when_another_candidate_is_chosen) {
   promoted_world world;
