--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -90,6 +90,7 @@
       sent_at >= *view->state_sampled_at) {
     view->state_sampled_at = sent_at;
     view->own_state_sampled_at = sent_at;
+    view->own_state_term = state.term;
     view->log_sampled_at = std::max(view->log_sampled_at, sent_at);
     view->state = state;
   }
@@ -295,7 +296,7 @@
   if (IsBeyondFork(point)) {
     return ack_state::kLost;
   }
-  if (!NonePromotedBefore(answered_at, now)) {
+  if (newer_term_since_.has_value() || !NonePromotedBefore(answered_at, now)) {
     return ack_state::kWait;
   }
   // A write of an earlier term is in the open term's log unless it is beyond
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -25,6 +25,11 @@
 
 namespace marjoramslip {
 
+/// Time for an accepted promotion to take effect, which is some hundred
+/// milliseconds, and to be reported by the candidate.
+inline constexpr duration kPromotionEffectTimeout =
+    std::chrono::milliseconds(2000);
+
 /// The last known state of one endpoint of a group. Sampling times are the
 /// times at which the request was sent, so that the state is no older.
 struct endpoint_view {
@@ -35,6 +40,7 @@
   /// Sampling time of the newest full state that it reported to this instance,
   /// as opposed to one that another instance passed on.
   std::optional<instant> own_state_sampled_at;
+  term_number own_state_term = 0;  ///< Of that state.
   /// Sampling time of the newest log position.
   instant log_sampled_at{};
   instant last_received_at{};
@@ -254,6 +260,8 @@
 
   /// What became of the requests to promote an endpoint, in one change.
   struct candidacy {
+    /// The endpoint's identity, as in `unsettled_promotion`.
+    endpoint_id target;
     bool in_flight = false;
     instant requested_at{};
     std::optional<instant> accepted_at;
@@ -343,6 +351,10 @@
   bool HandBackIfReturned(instant now, effect_list& effects);
   void OnNoCandidate(endpoint_id present, instant now, effect_list& effects);
   bool IsEligible(const endpoint_view& view, endpoint_id present) const;
+  /// Writes the record that names the endpoint to promote.
+  void WriteCandidate(endpoint_id candidate, log_point point, instant now,
+                      effect_list& effects);
+  candidacy& CandidacyOf(endpoint_id endpoint);
   duration NextRetryDelay();
   void RequestPromotion(instant now, effect_list& effects);
   void ReviewCandidate(instant now);
@@ -351,12 +363,27 @@
   bool IsUnsettled(const endpoint_view& view, instant now) const;
   /// Returns the list for the next record of the group.
   std::vector<unsettled_promotion> NextUnsettled(instant now) const;
+  /// True if a database other than `present` may have been promoted without
+  /// having been seen as the primary.
+  bool MayHaveBeenPromoted(endpoint_id present) const;
+  /// True if the platform accepted a request for `present` and it still leads
+  /// the old term, so that no other promotion has taken effect before.
+  bool IsPresentForThePlatform(endpoint_id present, instant now) const;
+  /// True if the database has reported since `taken_effect` that no later term
+  /// has begun there.
+  bool IsRuledOut(endpoint_id target, instant taken_effect) const;
+  bool IsExpired(const unsettled_promotion& promotion, instant since,
+                 instant now) const;
   /// True if no unsettled promotion had taken effect at `time`.
   bool NonePromotedBefore(instant time, instant now) const;
   void FindPromoted();
   void OnNewerTermSeen(term_number term, instant now);
+  /// True if a later term was seen some time ago and has no record yet. That
+  /// proves that the primary was replaced; no other instance has to agree.
+  bool IsLaterTermOverdue(instant now) const;
   void OpenPromoted(instant now, effect_list& effects);
-  void ResumePromotion(instant now);
+  void TakeOverCandidate(instant now, effect_list& effects);
+  void ResumePromotion(instant now, effect_list& effects);
 
   void LogPromotionAnswer(const promotion_answered& answer,
                           effect_list& effects);
@@ -428,6 +455,7 @@
   std::map<instance_id, instant> memberships_ended_;
   instant next_membership_end_{};
   std::uint64_t fence_ = 0;
+  std::uint64_t last_fence_ = 0;  ///< The last that was not 0.
   instant duty_until_{};
   std::map<endpoint_id, candidacy> candidacies_;
   /// The candidate of the record was given up; another one has to be chosen.
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -30,13 +30,10 @@
 /// Additional time for all replicas to report their log positions before a
 /// candidate is chosen from those that have.
 constexpr duration kReplicaReportTimeout = std::chrono::milliseconds(60);
-/// Time for an accepted promotion to take effect, which is some hundred
-/// milliseconds, and to be reported by the candidate.
-constexpr duration kPromotionEffectTimeout = std::chrono::milliseconds(2000);
 /// Delays before a request that had no effect is repeated, and before the
 /// candidates that were given up are tried again. Each is twice the one before.
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(100);
-constexpr duration kMaxRetryDelay = std::chrono::milliseconds(3200);
+constexpr duration kMaxRetryDelay = std::chrono::milliseconds(1600);
 /// Upper bound on a promotion request and its answer. No request is started
 /// if the duty may lapse within this time.
 constexpr duration kDutyMargin = std::chrono::milliseconds(1100);
@@ -47,13 +44,16 @@
 /// or given up.
 constexpr duration kSendLimit = std::chrono::milliseconds(500);
 constexpr duration kRequestLimit = kSendLimit + kDutyMargin;
-/// Time after which a candidate whose promotion the platform has not accepted
-/// is replaced by another.
-constexpr duration kCandidateTimeout = std::chrono::milliseconds(4000);
 
 }  // namespace
 
 void group_terms::SetDuty(std::uint64_t fence, instant until) {
+  const bool changing = step_ == step::kMoving || step_ == step::kPromoting;
+  if (changing && !service_.term_bound && fence != 0 && fence != last_fence_) {
+    // Another instance may have held the duty meanwhile.
+    step_ = step::kIdle;
+  }
+  last_fence_ = fence != 0 ? fence : last_fence_;
   fence_ = fence;
   duty_until_ = until;
 }
@@ -245,6 +245,10 @@
   }
   const bool chosen = record_.record.candidate_chosen;
   const bool is_asked = chosen && present == record_.record.candidate;
+  if (MayHaveBeenPromoted(present) &&
+      !(is_asked && IsPresentForThePlatform(present, now))) {
+    return false;
+  }
   const bool is_excluded = (chosen && !candidate_given_up_) || IsPlanned() ||
                            reason_ == reason::kNotReplicating;
   if (is_excluded && !is_asked) {
@@ -260,12 +264,15 @@
   const auto known = candidacies_.find(id);
   const bool given_up = known != candidacies_.end() && known->second.given_up;
   // For the present primary, the platform changes nothing.
-  return id != Primary() && id != present && !given_up &&
+  const bool has_stepped_down = view.state_sampled_at.has_value() &&
+                                *view.state_sampled_at >= phase_since_ &&
+                                view.state.role == endpoint_role::kReplica;
+  return (id != Primary() || has_stepped_down) && id != present && !given_up &&
          !view.unreachable_since.has_value();
 }
 
 void group_terms::ChooseForPromotion(instant now, effect_list& effects) {
-  if (!NoOtherServes(now) || now < next_choice_) {
+  if (!NoOtherServes(now) || !MayDrive(now) || now < next_choice_) {
     return;
   }
   const endpoint_id present = PresentPrimary();
@@ -304,27 +311,40 @@
     OnNoCandidate(present, now, effects);
     return;
   }
+  WriteCandidate(best, best_rank.second, now, effects);
+}
+
+void group_terms::WriteCandidate(endpoint_id candidate, log_point point,
+                                 instant now, effect_list& effects) {
   group_record next = record_.record;
-  next.candidate = best;
+  next.candidate = candidate;
   next.candidate_chosen = true;
-  next.candidate_point = best_rank.second;
+  next.candidate_point = point;
   next.unsettled = NextUnsettled(now);
+  candidacies_[candidate].accepted_at.reset();
+  next_promotion_ = {};
   Log(effects, log_level::kInfo, "group.candidate",
-      "received up to " + FormatLogPoint(best_rank.second) + ", state " +
-          FormatEndpointState(View(best)->state) +
+      "received up to " + FormatLogPoint(point) + ", state " +
+          FormatEndpointState(View(candidate)->state) +
           (AllAcknowledged(phase_revision_)
                ? ", all instances hold the sealed record"
                : ", the leases of silent instances have expired"),
-      best);
+      candidate);
   StartRecordWrite(std::move(next), step::kChoosing, now, effects);
 }
 
-/// Opens the old term again where nothing else is left. Otherwise lets the
-/// candidates that were given up be tried again after a while.
+/// Opens the old term again where nothing else is left. If another database may
+/// have been promoted unseen, the platform is asked for the old primary: it
+/// changes nothing if that one still leads. Otherwise lets the candidates that
+/// were given up be tried again after a while.
 void group_terms::OnNoCandidate(endpoint_id present, instant now,
                                 effect_list& effects) {
-  if (present != endpoint_id{} && MayDrive(now)) {
-    HandBack(present, now, effects);
+  if (present != endpoint_id{}) {
+    if (MayHaveBeenPromoted(present)) {
+      WriteCandidate(present, View(present)->state.Point(), now, effects);
+    } else {
+      HandBack(present, now, effects);
+    }
     return;
   }
   const auto any_given_up =
@@ -350,7 +370,7 @@
       !MayDrive(now) || !NoOtherServes(now)) {
     return;
   }
-  candidacy& request = candidacies_[candidate];
+  candidacy& request = CandidacyOf(candidate);
   if (request.given_up || request.accepted_at.has_value() ||
       (request.in_flight && now - request.requested_at < kRequestLimit)) {
     return;
@@ -397,14 +417,15 @@
 void group_terms::ReviewCandidate(instant now) {
   const endpoint_id candidate = record_.record.candidate;
   const endpoint_view* const view = View(candidate);
-  candidacy& request = candidacies_[candidate];
+  candidacy& request = CandidacyOf(candidate);
   const bool lost = view == nullptr ||
                     (view->unreachable_since.has_value() &&
                      now - *view->unreachable_since >= options_.takeover_delay);
+  // A platform that accepts nothing would not accept another candidate either,
+  // which may have received less.
   const bool without_effect =
-      request.accepted_at.has_value()
-          ? now - *request.accepted_at >= kPromotionEffectTimeout
-          : now - step_since_ >= kCandidateTimeout;
+      request.accepted_at.has_value() && candidate != PresentPrimary() &&
+      now - *request.accepted_at >= kPromotionEffectTimeout;
   if (lost || without_effect || request.given_up) {
     request.given_up = true;
     candidate_given_up_ = true;
@@ -440,13 +461,18 @@
   }
   record_read_requested_ = true;
   newer_term_since_ = newer_term_since_.value_or(now);
-  if (now - *newer_term_since_ >= kLaterTermTimeout && !suspected_since_) {
+  if (IsLaterTermOverdue(now) && !suspected_since_) {
     suspected_since_ = now;
   }
 }
 
+bool group_terms::IsLaterTermOverdue(instant now) const {
+  return newer_term_since_.has_value() &&
+         now - *newer_term_since_ >= kLaterTermTimeout;
+}
+
 void group_terms::OpenPromoted(instant now, effect_list& effects) {
-  if (!promoted_ || !NoOtherServes(now)) {
+  if (!promoted_ || !MayDrive(now) || !NoOtherServes(now)) {
     return;
   }
   // Not before: until a later primary leads, the old one may be handed the
@@ -466,7 +492,19 @@
   StartRecordWrite(std::move(next), step::kOpening, now, effects);
 }
 
-void group_terms::ResumePromotion(instant now) {
+/// Another instance, or this one before, may have requested the candidate. The
+/// record is written before it is requested again, so that no write of an
+/// earlier holder of the duty can replace it afterwards.
+void group_terms::TakeOverCandidate(instant now, effect_list& effects) {
+  group_record next = record_.record;
+  candidacy& request = CandidacyOf(next.candidate);
+  request.may_take_effect = true;
+  request.requested_at = now;
+  next.unsettled = NextUnsettled(now);
+  StartRecordWrite(std::move(next), step::kChoosing, now, effects);
+}
+
+void group_terms::ResumePromotion(instant now, effect_list& effects) {
   if (!MayDrive(now)) {
     return;
   }
@@ -474,9 +512,9 @@
   if (step_ == step::kIdle) {
     reason_ = record.phase == group_phase::kDraining ? reason::kPlanned
                                                      : reason::kUnreachable;
-    if (record.candidate_chosen) {
-      // Another instance, or this one before, may have requested it.
-      candidacies_[record.candidate].may_take_effect = true;
+    if (record.phase == group_phase::kSealed && record.candidate_chosen) {
+      TakeOverCandidate(now, effects);
+      return;
     }
     EnterStep(record.phase == group_phase::kDraining ? step::kDraining
                                                      : step::kMoving,
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -194,8 +194,8 @@
   CheckReplicationProgress(now);
   SendSuspicion(now, effects);
   EvaluateUndeclaredPrimary(now, effects);
-  if (!Open() || step_ != step::kIdle || !SuspicionQuorumReached(now) ||
-      !MayDrive(now)) {
+  if (!Open() || step_ != step::kIdle || !MayDrive(now) ||
+      (!SuspicionQuorumReached(now) && !IsLaterTermOverdue(now))) {
     return;
   }
   const reason change_reason =
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -328,7 +328,7 @@
 
 void group_terms::ResumeChange(instant now, effect_list& effects) {
   if (!service_.term_bound) {
-    ResumePromotion(now);
+    ResumePromotion(now, effects);
     return;
   }
   const group_record& record = record_.record;
--- a/lib/core/unsettled_promotions.cc
+++ b/lib/core/unsettled_promotions.cc
@@ -25,13 +25,72 @@
   unsettled_since_ = std::move(since);
 }
 
+bool group_terms::IsRuledOut(endpoint_id target, instant taken_effect) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&](const auto& entry) {
+                       const endpoint_view& view = entry.second;
+                       return TargetOf(view.spec) == target &&
+                              view.own_state_sampled_at.has_value() &&
+                              *view.own_state_sampled_at >= taken_effect &&
+                              view.own_state_term <= Term();
+                     });
+}
+
+// The limit bounds when a request takes effect, not when that is seen.
+bool group_terms::IsExpired(const unsettled_promotion& promotion, instant since,
+                            instant now) const {
+  const instant end = since + options_.promotion_effect_limit;
+  const bool is_registered =
+      std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        return TargetOf(entry.second.spec) == promotion.target;
+      });
+  return now >= end && (!is_registered || IsRuledOut(promotion.target, end));
+}
+
+group_terms::candidacy& group_terms::CandidacyOf(endpoint_id endpoint) {
+  candidacy& request = candidacies_[endpoint];
+  if (const endpoint_view* const view = View(endpoint)) {
+    request.target = TargetOf(view->spec);
+  }
+  return request;
+}
+
+bool group_terms::MayHaveBeenPromoted(endpoint_id present) const {
+  const endpoint_id own = TargetOf(View(present)->spec);
+  const auto unseen = [&](endpoint_id target, instant requested_at) {
+    return target != own &&
+           !IsRuledOut(target, requested_at + kPromotionEffectTimeout);
+  };
+  return std::any_of(candidacies_.begin(), candidacies_.end(),
+                     [&](const auto& entry) {
+                       const candidacy& request = entry.second;
+                       return (request.may_take_effect || request.in_flight ||
+                               request.accepted_at.has_value()) &&
+                              unseen(request.target, request.requested_at);
+                     }) ||
+         std::any_of(unsettled_since_.begin(), unsettled_since_.end(),
+                     [&](const auto& entry) {
+                       return unseen(entry.first.target, entry.second);
+                     });
+}
+
+bool group_terms::IsPresentForThePlatform(endpoint_id present,
+                                          instant now) const {
+  const auto found = candidacies_.find(present);
+  const endpoint_view* const view = View(present);
+  return found != candidacies_.end() && found->second.accepted_at.has_value() &&
+         now - *found->second.accepted_at >= kPromotionEffectTimeout &&
+         *view->state_sampled_at >=
+             *found->second.accepted_at + kPromotionEffectTimeout;
+}
+
 bool group_terms::IsUnsettled(const endpoint_view& view, instant now) const {
   const endpoint_id target = TargetOf(view.spec);
-  return std::any_of(
-      unsettled_since_.begin(), unsettled_since_.end(), [&](const auto& entry) {
-        return entry.first.target == target &&
-               now - entry.second < options_.promotion_effect_limit;
-      });
+  return std::any_of(unsettled_since_.begin(), unsettled_since_.end(),
+                     [&](const auto& entry) {
+                       return entry.first.target == target &&
+                              !IsExpired(entry.first, entry.second, now);
+                     });
 }
 
 bool group_terms::HasUnsettledPromotion(instant now) const {
@@ -52,16 +111,14 @@
                        });
   };
   for (const auto& [id, request] : candidacies_) {
-    const endpoint_view* const view = View(id);
     const bool may_take_effect = request.may_take_effect || request.in_flight ||
                                  request.accepted_at.has_value();
-    if (view != nullptr && may_take_effect) {
-      next.push_back({TargetOf(view->spec), record_.revision});
+    if (may_take_effect) {
+      next.push_back({request.target, record_.revision});
     }
   }
   for (const auto& [promotion, since] : unsettled_since_) {
-    if (now - since < options_.promotion_effect_limit &&
-        !is_listed(promotion.target)) {
+    if (!IsExpired(promotion, since, now) && !is_listed(promotion.target)) {
       next.push_back(promotion);
     }
   }
--- a/unittests/core/late_promotion_test.cc
+++ b/unittests/core/late_promotion_test.cc
@@ -69,9 +69,18 @@
     world.AdvanceTime(milliseconds(150));
     EXPECT(world.IsReleased(next));
   }
-  SECTION("without a wait once the request can't take effect any more") {
-    world.AdvanceTime(core_options{}.promotion_effect_limit);
+  SECTION("while it is out of reach, also after the request had its time") {
     world.unreachable_endpoint = harness::Id("b");
+    world.AdvanceTime(core_options{}.promotion_effect_limit);
+    const request_id blind = world.Write();
+    world.AnswerStatement(blind);
+    world.AdvanceTime(seconds(1));
+    EXPECT(!world.IsReleased(blind));
+    world.unreachable_endpoint = {};
+    world.AdvanceTime(milliseconds(300));
+    EXPECT(world.IsReleased(blind));
+  }
+  SECTION("without a wait once the request can't take effect any more") {
     const request_id late = world.Write();
     world.AnswerStatement(late);
     world.AdvanceTime(milliseconds(20));
@@ -121,6 +130,27 @@
   EXPECT(world.violations == 0);
 }
 
+// Guards against acknowledgements while the old primary still acts.
+Test(late_promotion, that_was_seen_ends_acknowledgements) {
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  const request_id write =
+      world.SendStatement(statement_kind::kWrite, {}, kFreshCaller);
+  REQUIRE(world.IsInFlight(write));
+  world.Promote("b", 2);
+  world.ApplyEvent(
+      probe_answered{harness::Id("b"), world.Now(), world.State("b")});
+  world.AnswerStatement(write);
+  world.AdvanceTime(milliseconds(100));
+  EXPECT(!world.IsReleased(write));
+  SECTION("and the group is sealed although the old primary answers") {
+    world.AdvanceTime(seconds(1));
+    REQUIRE(!world.written_records.empty());
+    EXPECT(world.written_records.back().primary == harness::Id("b"));
+  }
+  EXPECT(world.violations == 0);
+}
+
 // Guards against a record that forgets a request that may take effect.
 Test(late_promotion, is_recorded_when_another_candidate_is_chosen) {
   promoted_world world;
