Random runs of the platform's way: promotions on request, cuts by direction

A judge follows every commit, promotion and answer (ONE, STALE, TWICE, REFUSED) and progress after the last disruption. --no-late leaves out effects that come seconds after a call. Time, links and the queue are shared with the existing mode.

Not registered as tests yet.

--- a/test/random/main.cc
+++ b/test/random/main.cc
@@ -2,18 +2,21 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
 #include <utility>
 
+#include "platform_world.h"
 #include "world.h"
 
 namespace {
 
 using marjoramslip::ack_policy;
 using marjoramslip::random_runs::left_out;
+using marjoramslip::random_runs::platform_world;
 using marjoramslip::random_runs::run_options;
 using marjoramslip::random_runs::run_result;
 using marjoramslip::random_runs::world;
@@ -44,6 +47,9 @@
   all.sum.not_run += one.not_run;
   all.sum.may_have_run += one.may_have_run;
   all.sum.terms += one.terms;
+  all.sum.seals += one.seals;
+  all.sum.handed_back += one.handed_back;
+  all.sum.closed_after = std::max(all.sum.closed_after, one.closed_after);
   for (const auto& [reason, times] : one.reasons) {
     all.sum.reasons[reason] += times;
   }
@@ -64,6 +70,18 @@
       static_cast<unsigned long long>(sum.terms));
 }
 
+void PrintChanges(const run_result& sum) {
+  std::printf(
+      "%llu seals for %llu completed changes (%.2f), %llu of them handed back; "
+      "at most %lld ms from the end of the disruptions to a write\n",
+      static_cast<unsigned long long>(sum.seals),
+      static_cast<unsigned long long>(sum.terms),
+      static_cast<double>(sum.seals) /
+          static_cast<double>(std::max<std::uint64_t>(1, sum.terms)),
+      static_cast<unsigned long long>(sum.handed_back),
+      static_cast<long long>(sum.closed_after / std::chrono::milliseconds(1)));
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
@@ -76,8 +94,10 @@
   int primary_only = 0;
   int calm = 0;
   int trace = 0;
+  int platform = 0;
+  int no_late = 0;
   char* rule_name = nullptr;
-  const std::array<poptOption, 12> options = {
+  const std::array<poptOption, 14> options = {
       {{"runs", 'n', POPT_ARG_INT, &runs, 0, "number of runs", "N"},
        {"seed", 's', POPT_ARG_INT, &seed, 0, "seed of the first run", "S"},
        {"seconds", 't', POPT_ARG_INT, &seconds, 0, "virtual length", "T"},
@@ -85,6 +105,10 @@
        {"lag", 'l', POPT_ARG_INT, &lag, 0, "replication lag in ms", "MS"},
        {"primary-only", 'p', POPT_ARG_NONE, &primary_only, 0,
         "acknowledge after the primary alone", nullptr},
+       {"platform", 'f', POPT_ARG_NONE, &platform, 0,
+        "the platform promotes databases on request", nullptr},
+       {"no-late", 'e', POPT_ARG_NONE, &no_late, 0,
+        "no promotion takes effect seconds after its call", nullptr},
        {"trace", 'v', POPT_ARG_NONE, &trace, 0, "print what happens", nullptr},
        {"calm", 'c', POPT_ARG_NONE, &calm, 0, "no faults", nullptr},
        {"leave-out", 'o', POPT_ARG_STRING, &rule_name, 0,
@@ -118,7 +142,9 @@
   totals all;
   for (int i = 0; i < runs; ++i) {
     each.seed = static_cast<std::uint64_t>(seed + i);
-    const run_result one = world(each).Run();
+    const run_result one = platform != 0
+                               ? platform_world(each, no_late == 0).Run()
+                               : world(each).Run();
     Add(all, one);
     for (const std::string& text : one.violations) {
       std::printf("seed %d %s\n", seed + i, text.c_str());
@@ -128,6 +154,9 @@
     }
   }
   Print(all);
+  if (platform != 0) {
+    PrintChanges(all.sum);
+  }
   for (const auto& [reason, times] : all.sum.reasons) {
     std::printf("%8llu %s\n", static_cast<unsigned long long>(times),
                 reason.c_str());
--- a/test/random/world.cc
+++ b/test/random/world.cc
@@ -3,7 +3,6 @@
 #include "world.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace marjoramslip::random_runs {
@@ -17,7 +16,9 @@
 }  // namespace
 
 world::world(const run_options& options)
-    : options_(options), random_(options.seed), end_(now_ + options.length) {
+    : simulation(options.seed, options.trace),
+      options_(options),
+      end_(now_ + options.length) {
   service_spec service;
   service.name = "ledger";
   service.ack = options_.ack;
@@ -47,26 +48,6 @@
 
 world::~world() = default;
 
-void world::At(duration delay, std::function<void()> what) {
-  queue_.push({now_ + delay, ++order_, std::move(what)});
-}
-
-duration world::Delay() {
-  // Mostly short, sometimes long.
-  constexpr std::int64_t kLimits[] = {400, 800, 2000, 8000, 60000};
-  const std::int64_t limit = kLimits[random_() % std::size(kLimits)];
-  return duration(100 + static_cast<std::int64_t>(
-                            random_() % static_cast<std::uint64_t>(limit)));
-}
-
-bool world::Chance(double probability) {
-  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
-}
-
-std::size_t world::Pick(std::size_t count) { return random_() % count; }
-
-bool world::Cut(node from, node to) const { return cuts_.contains({from, to}); }
-
 node world::InstanceNode(std::size_t index) const {
   return static_cast<node>(index);
 }
@@ -75,22 +56,6 @@
   return kFirstDatabase + static_cast<node>(index);
 }
 
-void world::Trace(const std::string& text) const {
-  if (options_.trace) {
-    std::printf("%9.3f ms %s\n",
-                static_cast<double>(now_.time_since_epoch().count()) / 1000,
-                text.c_str());
-  }
-}
-
-void world::Violation(std::string text) {
-  Trace("VIOLATION " + text);
-  const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now_.time_since_epoch());
-  result_.violations.push_back("at " + std::to_string(at.count()) +
-                               " ms: " + std::move(text));
-}
-
 void world::StartInstance(std::size_t index) {
   instance& one = instances_[index];
   ++one.incarnation;
@@ -279,14 +244,9 @@
   }
   constexpr duration kQuietEnd = std::chrono::seconds(10);
   At(end_ - now_, [this] { Heal(); });
-  while (!queue_.empty() && queue_.top().when < end_ + kQuietEnd &&
-         result_.violations.size() < 5) {
-    scheduled next = queue_.top();
-    queue_.pop();
-    now_ = next.when;
-    next.what();
-  }
+  RunUntil(end_ + kQuietEnd, 5);
   FinalChecks();
+  result_.violations = std::move(violations_);
   return std::move(result_);
 }
 
--- a/test/random/world.h
+++ b/test/random/world.h
@@ -8,17 +8,15 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "fake_database.h"
 #include "marjoramslip/core/reducer.h"
 #include "marjoramslip/core/status_report.h"
+#include "simulation.h"
 
 namespace marjoramslip::random_runs {
 
@@ -56,15 +54,18 @@
   std::uint64_t not_run = 0;
   std::uint64_t may_have_run = 0;
   std::uint64_t terms = 0;
+  /// Where the platform promotes: changes of primary that were begun, and those
+  /// that ended with the old primary.
+  std::uint64_t seals = 0;
+  std::uint64_t handed_back = 0;
+  /// Time from the end of the last disruption to the first write.
+  duration closed_after{};
   /// How often each reason for a failure was given.
   std::map<std::string, std::uint64_t> reasons;
 };
 
-/// Identifies a machine: instances, databases, the key-value service.
-using node = std::uint32_t;
-
 /// One run.
-class world {
+class world : private simulation {
  public:
   explicit world(const run_options& options);
   ~world();
@@ -135,19 +136,12 @@
     std::set<write_id> acknowledged;
   };
 
-  // Time and links (world.cc).
-  void At(duration delay, std::function<void()> what);
-  duration Delay();
-  bool Chance(double probability);
-  std::size_t Pick(std::size_t count);
-  bool Cut(node from, node to) const;
+  // Instances (world.cc).
   node InstanceNode(std::size_t index) const;
   node DatabaseNode(std::size_t index) const;
   void Give(std::size_t index, event what);
   void Carry(std::size_t index, effect& what);
   void StartInstance(std::size_t index);
-  void Violation(std::string text);
-  void Trace(const std::string& text) const;
 
   // Databases (world_databases.cc).
   void OpenConnection(std::size_t index, const open_connection& what);
@@ -198,7 +192,6 @@
   // Faults (world_faults.cc).
   void NextFault();
   std::vector<node> Nodes() const;
-  void CutFor(std::vector<std::pair<node, node>> cuts, duration length);
   void RejectFor(const std::vector<std::pair<node, node>>& cuts,
                  duration length);
   void CutLinks();
@@ -213,21 +206,8 @@
   void TellCatalogue();
   void Heal();
 
-  struct scheduled {
-    instant when;
-    std::uint64_t order = 0;
-    std::function<void()> what;
-    bool operator<(const scheduled& other) const {
-      return std::tie(other.when, other.order) < std::tie(when, order);
-    }
-  };
-
   run_options options_;
-  std::mt19937_64 random_;
   run_result result_;
-  instant now_{std::chrono::seconds(1)};
-  std::uint64_t order_ = 0;
-  std::priority_queue<scheduled> queue_;
   catalogue catalogue_;
   group_id group_;
   std::vector<fake_database> databases_;
@@ -238,7 +218,6 @@
   std::optional<std::size_t> spare_;
   std::vector<instance> instances_;
   std::vector<caller> callers_;
-  std::multiset<std::pair<node, node>> cuts_;
   /// Cuts that answer with a refusal instead of silence.
   std::multiset<std::pair<node, node>> rejections_;
   versioned_record record_;
--- a/test/random/world_callers.cc
+++ b/test/random/world_callers.cc
@@ -263,7 +263,7 @@
 }
 
 void world::FinalChecks() {
-  if (!result_.violations.empty()) {
+  if (!violations_.empty()) {
     return;
   }
   // A change that has just begun, such as one of the witnesses, is no fault.
--- a/test/random/world_faults.cc
+++ b/test/random/world_faults.cc
@@ -11,12 +11,6 @@
 
 constexpr node kService = 200;
 
-/// A length between `least` and `most` milliseconds.
-duration Between(std::mt19937_64& random, std::uint64_t least,
-                 std::uint64_t most) {
-  return std::chrono::milliseconds(least + random() % (most - least));
-}
-
 }  // namespace
 
 void world::NextFault() {
@@ -55,7 +49,7 @@
       TroubleService();
       break;
   }
-  At(Between(random_, 50, 2500), [this] { NextFault(); });
+  At(Between(50, 2500), [this] { NextFault(); });
 }
 
 std::vector<node> world::Nodes() const {
@@ -69,18 +63,6 @@
   return nodes;
 }
 
-void world::CutFor(std::vector<std::pair<node, node>> cuts, duration length) {
-  cuts_.insert(cuts.begin(), cuts.end());
-  At(length, [this, cuts = std::move(cuts)] {
-    for (const auto& cut : cuts) {
-      const auto at = cuts_.find(cut);
-      if (at != cuts_.end()) {
-        cuts_.erase(at);
-      }
-    }
-  });
-}
-
 void world::CutLinks() {
   const std::vector<node> nodes = Nodes();
   const node one = nodes[Pick(nodes.size())];
@@ -94,7 +76,7 @@
       cuts.emplace_back(other, one);
     }
   }
-  CutFor(std::move(cuts), Between(random_, 100, 4000));
+  CutFor(std::move(cuts), Between(100, 4000));
 }
 
 void world::CutIsland() {
@@ -111,7 +93,7 @@
       cuts.emplace_back(other, inside);
     }
   }
-  const duration length = Between(random_, 500, 5000);
+  const duration length = Between(500, 5000);
   if (Chance(0.5)) {
     RejectFor(cuts, length);
   }
@@ -137,13 +119,12 @@
       rejected.emplace_back(other, primary);
     }
   }
-  const duration length = Between(random_, 1000, 5000);
+  const duration length = Between(1000, 5000);
   cuts.insert(cuts.end(), rejected.begin(), rejected.end());
   RejectFor(rejected, length);
   CutFor(std::move(cuts), length);
   instance& one = instances_[index];
-  one.paused_until =
-      std::max(one.paused_until, now_ + Between(random_, 300, 2000));
+  one.paused_until = std::max(one.paused_until, now_ + Between(300, 2000));
 }
 
 void world::RejectFor(const std::vector<std::pair<node, node>>& cuts,
@@ -168,8 +149,7 @@
 
 void world::PauseInstance() {
   instance& one = instances_[Pick(instances_.size())];
-  one.paused_until =
-      std::max(one.paused_until, now_ + Between(random_, 50, 3000));
+  one.paused_until = std::max(one.paused_until, now_ + Between(50, 3000));
 }
 
 void world::ReplaceInstance() {
@@ -181,7 +161,7 @@
   one.alive = false;
   one.connections.clear();
   one.paused_until = {};
-  At(Between(random_, 100, 2000), [this, index] { StartInstance(index); });
+  At(Between(100, 2000), [this, index] { StartInstance(index); });
   for (std::size_t i = 0; i < callers_.size(); ++i) {
     caller& who = callers_[i];
     if (who.instance != index || who.request == request_id{} ||
@@ -190,7 +170,7 @@
     }
     who.request = request_id{};
     who.id = caller_id{};
-    At(Between(random_, 1, 500), [this, i] { NextStatement(i); });
+    At(Between(1, 500), [this, i] { NextStatement(i); });
   }
 }
 
@@ -198,7 +178,7 @@
   const std::size_t database = Pick(databases_.size());
   outage& fault = outages_[database];
   fault.refuses = Chance(0.5);
-  fault.until = std::max(fault.until, now_ + Between(random_, 100, 5000));
+  fault.until = std::max(fault.until, now_ + Between(100, 5000));
   if (!fault.refuses) {
     return;
   }
@@ -224,11 +204,11 @@
 
 void world::TroubleService() {
   if (Chance(0.5)) {
-    service_down_until_ = now_ + Between(random_, 200, 6000);
+    service_down_until_ = now_ + Between(200, 6000);
     return;
   }
   lost_answers_ = 0.5;
-  At(Between(random_, 200, 4000), [this] { lost_answers_ = 0; });
+  At(Between(200, 4000), [this] { lost_answers_ = 0; });
 }
 
 void world::ChangeDatabases() {
