--- a/test/random/main.cc
+++ b/test/random/main.cc
@@ -97,7 +97,8 @@
   int platform = 0;
   int no_late = 0;
   char* rule_name = nullptr;
-  const std::array<poptOption, 14> options = {
+  char* only = nullptr;
+  const std::array<poptOption, 15> options = {
       {{"runs", 'n', POPT_ARG_INT, &runs, 0, "number of runs", "N"},
        {"seed", 's', POPT_ARG_INT, &seed, 0, "seed of the first run", "S"},
        {"seconds", 't', POPT_ARG_INT, &seconds, 0, "virtual length", "T"},
@@ -109,6 +110,9 @@
         "the platform promotes databases on request", nullptr},
        {"no-late", 'e', POPT_ARG_NONE, &no_late, 0,
         "no promotion takes effect seconds after its call", nullptr},
+       {"only", 'y', POPT_ARG_STRING, &only, 0,
+        "judge by one rule alone: ONE, STALE, TWICE, REFUSED, PROGRESS, ...",
+        "RULE"},
        {"trace", 'v', POPT_ARG_NONE, &trace, 0, "print what happens", nullptr},
        {"calm", 'c', POPT_ARG_NONE, &calm, 0, "no faults", nullptr},
        {"leave-out", 'o', POPT_ARG_STRING, &rule_name, 0,
@@ -139,12 +143,16 @@
     }
   }
   std::free(rule_name);
+  const std::string named = only == nullptr ? "" : std::string(only) + ": ";
+  std::free(only);
   totals all;
   for (int i = 0; i < runs; ++i) {
     each.seed = static_cast<std::uint64_t>(seed + i);
-    const run_result one = platform != 0
-                               ? platform_world(each, no_late == 0).Run()
-                               : world(each).Run();
+    run_result one = platform != 0 ? platform_world(each, no_late == 0).Run()
+                                   : world(each).Run();
+    std::erase_if(one.violations, [&](const std::string& text) {
+      return text.find(named) == std::string::npos;
+    });
     Add(all, one);
     for (const std::string& text : one.violations) {
       std::printf("seed %d %s\n", seed + i, text.c_str());
--- a/test/random/platform_callers.cc
+++ b/test/random/platform_callers.cc
@@ -87,7 +87,7 @@
   }
   if (gone()) {
     Connect(who);
-    if (!instances_[who.instance].alive) {
+    if (gone()) {
       who.id = {};
       At(std::chrono::milliseconds(100),
          [this, index] { NextStatement(index); });
@@ -110,6 +110,12 @@
   asked.client = index;
   asked.what = what;
   asked.asked = now_;
+  Trace("caller " + std::to_string(who.id.value) +
+        (who.on_primary_route ? " (primary)" : "") + " asks " +
+        instances_[who.instance].name + " request " +
+        std::to_string(who.request.value) + " action " +
+        std::to_string(static_cast<int>(what.what)) + " write " +
+        std::to_string(what.write));
   pending_.emplace(who.request, std::move(asked));
   // A caller whose instance sleeps goes elsewhere in the end.
   At(kLongestRequest, [this, index, request = who.request] {
@@ -120,7 +126,8 @@
     const instance& mine = instances_[waiting.instance];
     const bool answers = mine.alive && mine.incarnation == waiting.incarnation;
     if (answers && now_ - mine.paused_until > kLongestRequest) {
-      Violation("ENDLESS: a request was never ended");
+      Violation("ENDLESS: request " + std::to_string(request.value) + " of " +
+                mine.name + " was never ended");
     }
     waiting.id = {};
     NextStatement(index);
@@ -174,6 +181,19 @@
   }
 }
 
+void platform_world::OnClose(const close_caller& what) {
+  for (std::size_t i = 0; i < clients_.size(); ++i) {
+    client& who = clients_[i];
+    if (who.id != what.caller) {
+      continue;
+    }
+    who.id = {};
+    if (pending_.erase(who.request) != 0) {
+      At(Between(5, 60), [this, i] { NextStatement(i); });
+    }
+  }
+}
+
 void platform_world::OnFail(const fail_request& what) {
   const auto at = pending_.find(what.request);
   if (at == pending_.end()) {
--- a/test/random/platform_connections.cc
+++ b/test/random/platform_connections.cc
@@ -153,6 +153,11 @@
       at->second.seen = done.seen;
       at->second.outcome = done.outcome;
     }
+    const bool succeeded = done.outcome == answer_outcome::kSucceeded;
+    if (options_.rule == left_out::kOutcomes && succeeded && Chance(0.02)) {
+      Give(sent.instance, connection_lost{sent.sent.connection, false});
+      return;
+    }
     statement_answered answered;
     answered.connection = sent.sent.connection;
     answered.request = sent.sent.request;
--- a/test/random/platform_faults.cc
+++ b/test/random/platform_faults.cc
@@ -27,7 +27,7 @@
   const std::size_t primary = promoter_.present;
   const std::size_t index = Pick(instances_.size());
   const std::size_t database = Pick(databases_.size());
-  switch (Pick(16)) {
+  switch (Pick(18)) {
     case 0:
     case 1:
       CutLinks();
@@ -39,6 +39,8 @@
       CutOff(InstanceNode(index), {DatabaseNode(primary)}, Between(200, 6000));
       return;
     case 4:
+    case 16:
+    case 17:
       CutIsland();
       return;
     case 5:
@@ -149,12 +151,34 @@
 }
 
 void platform_world::CutIsland() {
-  // One instance stays with the primary, everyone else without.
-  const node lone = InstanceNode(Pick(instances_.size()));
-  const node primary = DatabaseNode(promoter_.present);
+  // One instance stays with the primary and some replicas, everyone else
+  // without. In half of the cases the replicas stay with everyone.
+  const std::size_t index = Pick(instances_.size());
+  const bool all_replicas = Chance(0.5);
+  std::set<node> island{InstanceNode(index), DatabaseNode(promoter_.present)};
+  std::set<node> between;
+  for (std::size_t i = 0; i < databases_.size(); ++i) {
+    if (i != promoter_.present && all_replicas) {
+      between.insert(DatabaseNode(i));
+    } else if (Chance(0.5)) {
+      island.insert(DatabaseNode(i));
+    }
+  }
+  std::vector<std::pair<node, node>> cuts;
+  for (const node inside : island) {
+    for (const node other : Nodes()) {
+      if (!island.contains(other) && !between.contains(other)) {
+        cuts.emplace_back(inside, other);
+        cuts.emplace_back(other, inside);
+      }
+    }
+  }
   const duration length = Between(500, 6000);
-  CutOff(lone, {primary}, length);
-  CutOff(primary, {lone}, length);
+  Trace("an island of " + std::to_string(island.size()) + " nodes with " +
+        instances_[index].name + ", " + std::to_string(between.size()) +
+        " between, for " +
+        std::to_string(length / std::chrono::milliseconds(1)) + " ms");
+  CutFor(std::move(cuts), length);
 }
 
 void platform_world::DarkenDatabase(std::size_t database) {
--- a/test/random/platform_world.cc
+++ b/test/random/platform_world.cc
@@ -14,6 +14,8 @@
 /// An instance that first read the list of instances later than this may not
 /// promote; `core_options::majority_lease_wait` and some room.
 constexpr duration kWarmUp = std::chrono::seconds(10);
+/// A serving lease that outlasts the promoter's wait.
+constexpr duration kLeaseTooLong = std::chrono::seconds(20);
 /// How long a run goes on to tell for how long a group stays closed.
 constexpr duration kLongestWatch = std::chrono::seconds(40);
 
@@ -56,6 +58,9 @@
   core_options core;
   core.instance_name = "i" + std::to_string(index);
   core.process_seed = random_();
+  if (options_.rule == left_out::kWait) {
+    core.serving_lease = kLeaseTooLong;
+  }
   one.name = core.instance_name;
   one.core = std::make_unique<reducer>(core);
   one.alive = true;
@@ -146,6 +151,8 @@
     OnRelease(*release);
   } else if (const auto* fail = std::get_if<fail_request>(&what)) {
     OnFail(*fail);
+  } else if (const auto* closed = std::get_if<close_caller>(&what)) {
+    OnClose(*closed);
   } else if (const auto* open = std::get_if<open_connection>(&what)) {
     OpenConnection(index, *open);
   } else if (const auto* close = std::get_if<close_connection>(&what)) {
@@ -170,13 +177,12 @@
     SendToPeers(index, *message);
   } else if (const auto* line = std::get_if<log_line>(&what)) {
     const std::size_t about = DatabaseOf(line->endpoint);
+    if (line->event == "invariant.violated") {
+      Violation("INVARIANT: " + one.name + ": " + line->text);
+    }
     Trace(one.name + " " + line->event + " term " + std::to_string(line->term) +
           (about < databases_.size() ? " " + databases_[about].Name() : "") +
           " " + line->text);
-  } else if (const auto* counted = std::get_if<counter_increment>(&what)) {
-    if (counted->counter_kind == counter::kInvariantViolations) {
-      Violation("INVARIANT: the reducer of " + one.name + " found one broken");
-    }
   } else if (const auto* wake = std::get_if<wake_at>(&what)) {
     At(std::max(duration(0), wake->when - now_),
        [this, index, incarnation = one.incarnation] {
--- a/test/random/platform_world.h
+++ b/test/random/platform_world.h
@@ -187,6 +187,7 @@
   void PlanStatements(client& who);
   void Send(std::size_t index, const statement& what);
   void OnRelease(const release_answer& what);
+  void OnClose(const close_caller& what);
   void OnFail(const fail_request& what);
   void OnWritesAcknowledged(client& who, const pending& done);
 
