--- a/test/random/platform_connections.cc
+++ b/test/random/platform_connections.cc
@@ -134,6 +134,11 @@
                                now_));
     }
   }
+  Trace(target.Name() + " answers request " +
+        std::to_string(sent.sent.request.value) + " of " +
+        instances_[sent.instance].name + ", outcome " +
+        std::to_string(static_cast<int>(done.outcome)) + ", end of log " +
+        FormatLogPoint(target.EndOfLog().Point()));
   At(Delay(), [this, sent, done, state = target.EndOfLog()] {
     if (!Cut(DatabaseNode(sent.link.database), InstanceNode(sent.instance))) {
       Answer(sent, done, state);
