--- a/test/random/platform_callers.cc
+++ b/test/random/platform_callers.cc
@@ -151,6 +151,7 @@
   const bool succeeded = done.outcome == answer_outcome::kSucceeded;
   if (succeeded && done.what.what == action::kRead) {
     ++result_.reads;
+    result_.replica_reads += done.from_replica ? 1 : 0;
     const auto age =
         who.on_primary_route ? std::nullopt : std::optional(kStatedAge);
     Judge(judge_.OnRead({done.asked, age, who.id.value, done.seen}));
--- a/test/random/platform_connections.cc
+++ b/test/random/platform_connections.cc
@@ -157,6 +157,7 @@
     if (at != pending_.end()) {
       at->second.seen = done.seen;
       at->second.outcome = done.outcome;
+      at->second.from_replica = !databases_[sent.link.database].IsPrimary();
     }
     const bool succeeded = done.outcome == answer_outcome::kSucceeded;
     if (options_.rule == left_out::kOutcomes && succeeded && Chance(0.02)) {
--- a/test/random/platform_world.h
+++ b/test/random/platform_world.h
@@ -120,6 +120,7 @@
     statement what;
     instant asked;
     answer_outcome outcome = answer_outcome::kSucceeded;
+    bool from_replica = false;
     std::vector<write_id> seen;
   };
 
