Hand a group back at once to a primary that returned under another id

Callers: no writes for 3 s after a short crash of a primary.

Cause: where the new process registered before two instances missed the old one, the record's primary was undeclared, and the wait of 3 s for its declaration began, which is meant for release notes that come late.

Change: if a database reports itself as the primary of the open term, that wait is left out.

--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -183,8 +183,11 @@
   if (!undeclared_since_.has_value()) {
     undeclared_since_ = now;
   }
-  // The release note that declares the primary may not have arrived yet.
-  if (now - *undeclared_since_ >= kUndeclaredPrimaryTimeout &&
+  // The release note that declares the primary may not have arrived yet. A
+  // primary that started again has returned under another id.
+  const bool has_returned =
+      !service_.term_bound && PresentPrimary() != endpoint_id{};
+  if ((has_returned || now - *undeclared_since_ >= kUndeclaredPrimaryTimeout) &&
       step_ == step::kIdle && MayDrive(now)) {
     StartSealing(reason::kUnreachable, endpoint_id{}, now, effects);
   }
--- a/unittests/core/returned_primary_test.cc
+++ b/unittests/core/returned_primary_test.cc
@@ -111,6 +111,27 @@
   EXPECT(world.violations == 0);
 }
 
+// Guards against a wait for the declaration of a process that is gone.
+Test(returned_primary, that_restarted_before_anyone_missed_it) {
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  world.State("a.2") = world.State("a");
+  catalogue declared = world.MakeCatalogue(2);
+  for (endpoint_spec& endpoint :
+       declared.services.at("ledger").groups[0].endpoints) {
+    if (endpoint.name == "a") {
+      endpoint.name = "a.2";
+      endpoint.identity = "a";
+    }
+  }
+  world.ApplyEvent(catalogue_seen{declared});
+  world.AdvanceTime(milliseconds(300));
+  REQUIRE(!world.written_records.empty());
+  EXPECT(world.written_records.back().phase == group_phase::kOpen);
+  EXPECT(world.written_records.back().primary == harness::Id("a.2"));
+  EXPECT(world.promotions.empty());
+}
+
 Test(returned_primary, serves_a_group_without_replicas_again) {
   sealed_world world;
   catalogue alone = world.MakeCatalogue(2);
