--- a/test/platform_cluster.py
+++ b/test/platform_cluster.py
@@ -77,6 +77,11 @@
         self.order(database=old["id"], order="crash")
         return old
 
+    def promotion_calls(self):
+        """The databases that promotion calls have named, in order."""
+        return json.loads(
+            fetch(self.address, "/control/databases"))["promotion_calls"]
+
     def runs(self):
         """Statements that databases ran and kept, in order."""
         return json.loads(fetch(self.address, "/control/runs"))["runs"]
@@ -190,3 +195,18 @@
     def discard_logs_at_end(self):
         """The logs are of no use: remove them once all has ended."""
         self._discards = True
+
+
+def run_scenario(scenario, cluster):
+    """Runs a scenario on its cluster; whether it went as it must."""
+    print(f"{scenario.__name__}: {scenario.__doc__}", flush=True)
+    with cluster:
+        try:
+            cluster.start()
+            scenario(cluster)
+        except (ClusterError, Refused, OSError) as error:
+            print(f"    FAILED: {error}\n    logs: {cluster.folder}")
+            return False
+        cluster.discard_logs_at_end()
+    print("    ok")
+    return True
--- a/test/platform_cuts.py
+++ b/test/platform_cuts.py
@@ -11,11 +11,11 @@
 
 sys.dont_write_bytecode = True
 
-from cluster_of_processes import ClusterError, wait_until  # noqa: E402
+from cluster_of_processes import wait_until  # noqa: E402
 from line_client import Refused, Session  # noqa: E402
 from loopback_proxy import Network, Proxies  # noqa: E402
 from platform_cluster import (  # noqa: E402
-    PRIMARY, ZONES, PlatformCluster, PlatformInstance)
+    PRIMARY, ZONES, PlatformCluster, PlatformInstance, run_scenario)
 from platform_path import expect, replaced, write  # noqa: E402
 from scenarios import run_chosen  # noqa: E402
 
@@ -33,10 +33,11 @@
 class ProxiedCluster(PlatformCluster):
     """Each instance reaches the store, databases and others by own links."""
 
-    def __init__(self, build):
+    def __init__(self, build, platform_options=None):
         super().__init__(build, instances=3,
                          platform_options={"promotion-ms": PROMOTION_MS,
-                                           "follow-ms": FOLLOW_MS})
+                                           "follow-ms": FOLLOW_MS,
+                                           **(platform_options or {})})
         self.network = Network()
         self.proxies = []
 
@@ -66,17 +67,12 @@
                     self.instances[number].peer_address, cut)
 
 
-class Traffic:
-    """Writes and reads without a pause, until it is stopped."""
+class Repeated:
+    """Actions that are repeated without a pause, until they are stopped."""
 
-    def __init__(self, isolated, other, label):
-        self.writes = []  # (sent at, item, verdict), through the isolated one.
-        self.reads = []  # (sent at, value), through the isolated one.
-        self.acknowledged = []  # (answered at, value), through the other one.
-        self._label = label
+    def __init__(self, work):
+        """Each of `work`: an action, its instance and its number."""
         self._stopped = threading.Event()
-        work = [(self._write, isolated, n) for n in range(WRITERS)]
-        work += [(self._count, other, 0), (self._read, isolated, 0)]
         self._threads = [
             threading.Thread(target=self._repeat, args=one) for one in work]
         for each in self._threads:
@@ -96,6 +92,19 @@
             except (OSError, Refused):
                 time.sleep(RETRY_PAUSE_S)
 
+
+class Traffic(Repeated):
+    """Writes and reads through an isolated instance and another."""
+
+    def __init__(self, isolated, other, label):
+        self.writes = []  # (sent at, item, verdict), through the isolated one.
+        self.reads = []  # (sent at, value), through the isolated one.
+        self.acknowledged = []  # (answered at, value), through the other one.
+        self._label = label
+        work = [(self._write, isolated, n) for n in range(WRITERS)]
+        work += [(self._count, other, 0), (self._read, isolated, 0)]
+        super().__init__(work)
+
     def _write(self, instance, number, count):
         name = f"{self._label}-{number}-{count}"
         sent = time.monotonic()
@@ -189,17 +198,7 @@
 
 
 def run(scenario, build):
-    print(f"{scenario.__name__}: {scenario.__doc__}", flush=True)
-    with ProxiedCluster(build) as cluster:
-        try:
-            cluster.start()
-            scenario(cluster)
-        except (ClusterError, Refused, OSError) as error:
-            print(f"    FAILED: {error}\n    logs: {cluster.folder}")
-            return False
-        cluster.discard_logs_at_end()
-    print("    ok")
-    return True
+    return run_scenario(scenario, ProxiedCluster(build))
 
 
 if __name__ == "__main__":
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -17,7 +17,8 @@
 from cluster_of_processes import ClusterError, wait_until  # noqa: E402
 from line_client import Refused, Session  # noqa: E402
 from platform_cluster import (  # noqa: E402
-    BOUNDED, OWN_WRITES, PRIMARY, PlatformCluster, configuration, route)
+    BOUNDED, OWN_WRITES, PRIMARY, PlatformCluster, configuration, route,
+    run_scenario)
 from scenarios import run_chosen  # noqa: E402
 
 WRITE_LIMIT_S = 20
@@ -338,17 +339,7 @@
 
 
 def run(scenario, build):
-    print(f"{scenario.__name__}: {scenario.__doc__}", flush=True)
-    with PlatformCluster(build) as cluster:
-        try:
-            cluster.start()
-            scenario(cluster)
-        except (ClusterError, Refused, OSError) as error:
-            print(f"    FAILED: {error}\n    logs: {cluster.folder}")
-            return False
-        cluster.discard_logs_at_end()
-    print("    ok")
-    return True
+    return run_scenario(scenario, PlatformCluster(build))
 
 
 def main():
--- a/tools/standin/platform/line_group.cc
+++ b/tools/standin/platform/line_group.cc
@@ -96,11 +96,12 @@
   one.primary = one.primary && one.term >= term;
 }
 
-bool line_group::Promote(std::size_t index) {
+bool line_group::Promote(std::size_t index, std::chrono::milliseconds late) {
   const std::lock_guard lock(mutex_);
   database& one = Advanced(index);
-  if (one.running && !one.primary && !one.promotion) {
-    one.promotion = std::chrono::steady_clock::now() + options_.promotion;
+  if (one.running && !LeadsNewestTerm(one)) {
+    one.promotions.push_back(std::chrono::steady_clock::now() +
+                             options_.promotion + late);
   }
   return one.running;
 }
@@ -115,7 +116,7 @@
   database& one = Advanced(index);
   one.running = true;
   one.paused = 0;
-  one.primary = one.primary && one.term == NewestTerm();
+  one.primary = LeadsNewestTerm(one);
 }
 
 line_group::database& line_group::Advanced(std::size_t index) {
@@ -151,23 +152,34 @@
 
 void line_group::FinishPromotions(steady_time now) {
   for (database& one : databases_) {
-    if (!one.promotion || *one.promotion > now) {
+    const auto due =
+        std::partition(one.promotions.begin(), one.promotions.end(),
+                       [now](steady_time at) { return at > now; });
+    if (due == one.promotions.end()) {
       continue;
     }
-    led_since_ = *one.promotion;
-    one.promotion.reset();
-    if (!one.running) {
-      continue;
-    }
-    one.term = NewestTerm() + 1;
-    one.primary = true;
-    Apply(one, now);
-    for (database& any : databases_) {
-      any.paused = 0;
+    const steady_time since = *std::min_element(due, one.promotions.end());
+    one.promotions.erase(due, one.promotions.end());
+    if (one.running && !LeadsNewestTerm(one)) {
+      Lead(one, since);
     }
   }
 }
 
+void line_group::Lead(database& one, steady_time since) {
+  led_since_ = since;
+  one.term = NewestTerm() + 1;
+  one.primary = true;
+  Apply(one, since);
+  for (database& any : databases_) {
+    any.paused = 0;
+  }
+}
+
+bool line_group::LeadsNewestTerm(const database& one) const {
+  return one.primary && one.term == NewestTerm();
+}
+
 void line_group::Follow(database& replica, const database& leader,
                         steady_time now) const {
   if (replica.term != leader.term) {
--- a/tools/standin/platform/line_group.h
+++ b/tools/standin/platform/line_group.h
@@ -70,8 +70,9 @@
   void Pause(std::size_t index, std::uint64_t term);
   void Resume(std::size_t index);
   void StepDown(std::size_t index, std::uint64_t term);
-  /// Takes effect a while later; false if the database does not run.
-  bool Promote(std::size_t index);
+  /// Takes effect a while later, and `late` after that; false if the database
+  /// does not run. For the present primary nothing changes.
+  bool Promote(std::size_t index, std::chrono::milliseconds late);
 
   void Crash(std::size_t index);
   void Start(std::size_t index);
@@ -91,12 +92,14 @@
     std::vector<record> log;
     std::size_t held = 0;
     std::map<std::string, std::string> values;
-    std::optional<steady_time> promotion;  ///< When it takes effect.
+    std::vector<steady_time> promotions;  ///< When they take effect.
   };
 
   database& Advanced(std::size_t index);
   void Advance(steady_time now);
   void FinishPromotions(steady_time now);
+  void Lead(database& one, steady_time since);
+  bool LeadsNewestTerm(const database& one) const;
   void Follow(database& replica, const database& leader, steady_time now) const;
   void Apply(database& replica, steady_time now) const;
   std::uint64_t NewestTerm() const;
--- a/tools/standin/platform/line_server.cc
+++ b/tools/standin/platform/line_server.cc
@@ -5,6 +5,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Net/TCPServerParams.h>
+#include <Poco/Timestamp.h>
 
 #include <utility>
 
@@ -75,10 +76,10 @@
 }
 
 void line_server::Start() {
-  group_.Start(index_);
   if (server_ == nullptr) {
     Listen(port_);
   }
+  group_.Start(index_);
 }
 
 void line_server::Listen(std::uint16_t port) {
@@ -92,6 +93,7 @@
   server_ = std::make_unique<Poco::Net::TCPServer>(
       new connection_factory(*this), threads_, socket, params);
   server_->start();
+  born_ms_ = Poco::Timestamp().epochMicroseconds() / 1000;
 }
 
 }  // namespace standin
--- a/tools/standin/platform/line_server.h
+++ b/tools/standin/platform/line_server.h
@@ -71,6 +71,8 @@
   void SetDraining(bool draining) { draining_ = draining; }
   bool Draining() const { return draining_; }
   bool Running();
+  /// The Unix millisecond of its last start.
+  std::int64_t Born() const { return born_ms_; }
 
   // For its connections.
 
@@ -97,6 +99,7 @@
   std::atomic<bool> dark_ = false;
   std::atomic<bool> draining_ = false;
   std::atomic<std::uint64_t> epoch_ = 1;
+  std::atomic<std::int64_t> born_ms_ = 0;
   std::uint16_t port_ = 0;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::TCPServer> server_;
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -5,14 +5,16 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Timestamp.h>
 
 #include <memory>
+#include <optional>
+#include <thread>
 #include <vector>
 
 #include "../http_service.h"
 #include "../signals.h"
 #include "platform_store.h"
+#include "promotion_faults.h"
 
 namespace standin {
 
@@ -26,7 +28,9 @@
   platform_store& Store() { return store_; }
   /// Ends leases, and writes what databases say of themselves.
   void Tick();
-  store_answer Promote(const json_object& body, const std::string& fence);
+  /// Nothing: there is no answer.
+  std::optional<store_answer> Promote(const json_object& body,
+                                      const std::string& fence);
   /// Faults and configurations on command.
   store_answer Control(const json_object& order);
   store_answer Databases();
@@ -36,6 +40,7 @@
   struct registered {
     std::string said;  ///< Without its sequence.
     std::int64_t sequence = 0;
+    std::int64_t born = 0;
     std::chrono::steady_clock::time_point written;
   };
 
@@ -46,11 +51,11 @@
 
   platform_store store_;
   std::chrono::milliseconds beat_;
-  std::int64_t born_ms_ = Poco::Timestamp().epochMicroseconds() / 1000;
   line_group group_;
   run_journal journal_;
   std::vector<std::unique_ptr<line_server>> servers_;
   std::vector<registered> registered_;
+  promotion_faults promotion_faults_;
   std::int64_t newest_fence_ = 0;
 };
 
@@ -88,6 +93,10 @@
   if (said == entry.said && now - entry.written < beat_) {
     return;
   }
+  if (server.Born() != entry.born) {
+    entry.born = server.Born();
+    entry.sequence = 0;
+  }
   entry.said = said;
   entry.written = now;
   json_object body = ParseJsonObject(said);
@@ -106,7 +115,7 @@
   body->set("state", server.Draining() ? "draining" : "ready");
   body->set("coldLeftMs", 0);
   body->set("dbRole", server.State().primary ? "primary" : "replica");
-  body->set("born", born_ms_);
+  body->set("born", server.Born());
   return JsonText(*body);
 }
 
@@ -119,19 +128,25 @@
   return nullptr;
 }
 
-store_answer platform_world::Promote(const json_object& body,
-                                     const std::string& fence) {
-  store_answer answer;
+std::optional<store_answer> platform_world::Promote(const json_object& body,
+                                                    const std::string& fence) {
   const std::int64_t number = std::stoll(fence);
-  line_server* const target = Find(TextMember(body, "id"));
+  const std::string id = TextMember(body, "id");
+  line_server* const target = Find(id);
+  const promotion_fault fault = promotion_faults_.Take(id);
   const bool stale = number < newest_fence_;
   newest_fence_ = std::max(newest_fence_, number);
-  if (stale || target == nullptr || !group_.Promote(target->Index())) {
-    answer.status = 409;
+  store_answer answer;
+  answer.status = fault.answer;
+  if (stale || target == nullptr || !target->Running()) {
+    answer.status = fault.answer == 0 ? 0 : 409;
     answer.body->set(
         "error", stale ? "the fence is old" : "this database is not running");
+  } else if (fault.effect) {
+    group_.Promote(target->Index(), fault.effect_late);
   }
-  return answer;
+  std::this_thread::sleep_for(fault.answer_late);
+  return answer.status == 0 ? std::nullopt : std::optional(answer);
 }
 
 void platform_world::Order(line_server& target, const std::string& order) {
@@ -170,6 +185,9 @@
   if (const json_object config = ObjectMember(order, "config")) {
     store_.Put("op/config", JsonText(*config));
   }
+  if (order->has("promotion")) {
+    promotion_faults_.Set(ObjectsMember(order, "promotion"));
+  }
   // An entry of another writer: any key, any bytes.
   if (const json_object put = ObjectMember(order, "put")) {
     store_.Put(TextMember(put, "key"), TextMember(put, "value"));
@@ -198,10 +216,16 @@
     row->set("received", state.received.number);
     row->set("paused", state.paused);
     row->set("connections", one->Open().load());
+    row->set("born", one->Born());
     all->add(row);
   }
+  Poco::JSON::Array::Ptr calls(new Poco::JSON::Array);
+  for (const std::string& id : promotion_faults_.Calls()) {
+    calls->add(id);
+  }
   store_answer answer;
   answer.body->set("databases", all);
+  answer.body->set("promotion_calls", calls);
   return answer;
 }
 
@@ -227,18 +251,23 @@
 
   void handleRequest(Poco::Net::HTTPServerRequest& request,
                      Poco::Net::HTTPServerResponse& response) override {
-    store_answer answer;
+    std::optional<store_answer> answer;
     try {
       answer = Answer(request);
     } catch (const std::exception& error) {
-      answer.status = 400;
-      answer.body->set("error", std::string(error.what()));
+      answer.emplace();
+      answer->status = 400;
+      answer->body->set("error", std::string(error.what()));
+    }
+    if (answer) {
+      SendAnswer(response, *answer);
+    } else {
+      CloseUnanswered(request);
     }
-    SendAnswer(response, answer);
   }
 
  private:
-  store_answer Answer(Poco::Net::HTTPServerRequest& request) {
+  std::optional<store_answer> Answer(Poco::Net::HTTPServerRequest& request) {
     const std::string& path = request.getURI();
     if (path == "/promote") {
       return world_.Promote(ParseJsonObject(ReadBody(request)),
--- /dev/null
+++ b/tools/standin/platform/promotion_faults.h
@@ -0,0 +1,53 @@
+// What goes wrong with calls that promote a database.
+
+#ifndef MARJORAMSLIP_TOOLS_STANDIN_PLATFORM_PROMOTION_FAULTS_H_
+#define MARJORAMSLIP_TOOLS_STANDIN_PLATFORM_PROMOTION_FAULTS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "../json_text.h"
+#include "line_group.h"
+
+namespace standin {
+
+/// What becomes of one call.
+struct promotion_fault {
+  int answer = 200;    ///< The status; 0: no answer.
+  bool effect = true;  ///< Whether the database is promoted.
+  std::chrono::milliseconds effect_late{0};
+  std::chrono::milliseconds answer_late{0};
+};
+
+/// Faults on command, one after the other. Safe for use by several threads.
+class promotion_faults {
+ public:
+  /// Replaces the faults. Each has `answer`, `effect`, `effect_late_ms` and
+  /// `answer_late_ms`, those of a call without a fault by default, and befalls
+  /// `count` calls, or those of the next `for_ms`; both unlimited by default.
+  void Set(const std::vector<json_object>& faults);
+  /// What becomes of a call that names this database.
+  promotion_fault Take(const std::string& id);
+  /// The databases that calls have named, in order.
+  std::vector<std::string> Calls() const;
+
+ private:
+  struct entry {
+    promotion_fault fault;
+    std::int64_t left = std::numeric_limits<std::int64_t>::max();
+    steady_time until = steady_time::max();
+  };
+
+  mutable std::mutex mutex_;
+  std::deque<entry> faults_;
+  std::vector<std::string> calls_;
+};
+
+}  // namespace standin
+
+#endif  // MARJORAMSLIP_TOOLS_STANDIN_PLATFORM_PROMOTION_FAULTS_H_
