Judge progress by the longest time without a kept write

A database may register late after its restart, a fault may befall the calls for one database, and the proxies of the tests no longer open a link twice when two answers name it at once.

--- a/test/loopback_proxy.py
+++ b/test/loopback_proxy.py
@@ -155,8 +155,9 @@
 
     async def database(self, address):
         if address not in self.databases:
-            self.databases[address] = DatabaseLink(address)
-            await self.databases[address].open()
+            link = DatabaseLink(address)
+            await link.open()
+            self.databases.setdefault(address, link)
         return self.databases[address]
 
 
@@ -190,8 +191,9 @@
 
     async def _peer(self, address):
         if address not in self._peers:
-            self._peers[address] = Link(address)
-            await self._peers[address].open()
+            link = Link(address)
+            await link.open()
+            self._peers.setdefault(address, link)
         return self._peers[address]
 
     async def rewrite(self, body):
--- a/test/platform_changes.py
+++ b/test/platform_changes.py
@@ -31,7 +31,9 @@
 # How long one instance stays cut off after the primary has returned.
 STILL_CUT_S = 2.0
 # Longer than it takes to open another database.
-EFFECT_LATE_MS = 5000
+EFFECT_LATE_MS = 8000
+# How long a database that started again does not register itself.
+SILENT_MS = 300
 # What a promoted database has not received by then is not at it.
 DELIVERY_S = 0.2
 CHANGE_LIMIT_S = 25
@@ -43,6 +45,7 @@
     def __init__(self, cluster):
         # (sent at, answered at, item, verdict, instance)
         self.writes = []
+        self.ended = None
         self._may_write = threading.Event()
         self._may_write.set()
         self._asking = []
@@ -58,6 +61,10 @@
     def release(self):
         self._may_write.set()
 
+    def stop(self):
+        self.ended = time.monotonic()
+        super().stop()
+
     def verdicts(self):
         return {name: verdict for _, _, name, verdict, _ in self.writes}
 
@@ -116,28 +123,36 @@
 
 
 def wait_for_writes(cluster, writers, since):
-    """Returns a while after all instances have accepted writes."""
+    """Returns a while after all instances have accepted writes, and not before
+    the bound is over."""
     for each in cluster.instances:
-        wait_until(f"{each.name} accepts writes", lambda: writers.accepted_after(
-            each, since), CHANGE_LIMIT_S)
-    time.sleep(AFTER_S)
+        wait_until(f"{each.name} accepts writes",
+                   lambda: writers.accepted_after(each, since), CHANGE_LIMIT_S)
+    time.sleep(max(0.0, since + PROGRESS_BOUND_S - time.monotonic()) + AFTER_S)
+
+
+def longest_gap(writers, instance, since, until, kept=None):
+    """The longest time in which no write, or none of those that are kept, was
+    accepted through an instance."""
+    times = sorted(answered for _, answered, name, verdict, through
+                   in list(writers.writes)
+                   if through is instance and verdict == "accepted"
+                   and since <= answered < until
+                   and (kept is None or name in kept))
+    ends = [since, *times, until]
+    return max(later - earlier for earlier, later in zip(ends, ends[1:]))
 
 
 def judge_progress(cluster, writers, kept, calm):
-    """All instances accept writes that are kept soon after all is calm."""
-    spent = {}
-    for instance in cluster.instances:
-        first = min((answered
-                     for _, answered, name, verdict, through in writers.writes
-                     if through is instance and verdict == "accepted"
-                     and answered >= calm and name in kept), default=None)
-        spent[instance.name] = None if first is None else first - calm
-    print("    kept writes are accepted again, in s after the last "
-          "disruption: " + ", ".join(
-              "never" if each is None else f"{each:.2f}"
-              for each in spent.values()))
-    late = {name: each for name, each in spent.items()
-            if each is None or each > PROGRESS_BOUND_S}
+    """After all is calm, each instance accepts writes that are kept soon, and
+    goes on to."""
+    gaps = {each.name: longest_gap(writers, each, calm, writers.ended, kept)
+            for each in cluster.instances}
+    print(f"    longest time without a kept write in the "
+          f"{writers.ended - calm:.1f} s after the last disruption: "
+          + ", ".join(f"{each:.2f}" for each in gaps.values()) + " s")
+    late = {name: each for name, each in gaps.items()
+            if each > PROGRESS_BOUND_S}
     expect(not late, f"no progress within {PROGRESS_BOUND_S} s: {late}")
 
 
@@ -157,10 +172,12 @@
     accepted = [each for each in writers.writes if each[3] == "accepted"]
     spared = {name for sent, answered, name, _, _ in accepted
               if lossy and lossy[0] <= answered and sent < lossy[1]}
-    lost = [each for each in accepted
+    lost = [each[:4] for each in accepted
             if each[2] not in kept and each[2] not in spared]
     print(f"    {len(accepted)} writes were accepted, {len(lost)} of them are "
-          "lost")
+          "lost" + (f", sent {min(lost)[0] - lossy[1]:.2f} to "
+                    f"{max(lost)[0] - lossy[1]:.2f} s after the effect"
+                    if lost and lossy else ""))
     expect(accepted, "no write was accepted")
     expect(not lost, f"{len(lost)} acknowledged writes are lost, such as "
                      f"{[each[2] for each in lost[:3]]}")
@@ -174,15 +191,6 @@
     judge_progress(cluster, writers, kept, calm)
 
 
-def longest_gap(writers, instance, since, until):
-    """The longest time without an accepted write through an instance."""
-    times = sorted(answered for _, answered, _, verdict, through
-                   in list(writers.writes) if through is instance
-                   and verdict == "accepted" and since <= answered < until)
-    ends = [since, *times, until]
-    return max(later - earlier for earlier, later in zip(ends, ends[1:]))
-
-
 def report_calls(cluster):
     primary = cluster.platform.primary()
     print(f"    promotion calls: {cluster.platform.promotion_calls()}; the "
@@ -223,12 +231,15 @@
 
 
 def only_database_restarts(cluster):
-    """The only database of a group leads again after its restart."""
+    """The only database of a group leads again after its restart, before its
+    entry in the store tells of it."""
     with Traffic(cluster) as writers:
         sealed = seals(cluster)
         old = crash_primary(cluster, writers)
         wait_sealed(cluster, sealed)
-        cluster.platform.order(database=old["id"], order="start")
+        cluster.platform.order(database=old["id"], order="start",
+                               silent_ms=SILENT_MS)
+        time.sleep(SILENT_MS / 1000)
         calm = time.monotonic()
         wait_for_writes(cluster, writers, calm)
     report_calls(cluster)
@@ -280,29 +291,41 @@
     change_with_faults(cluster, {"answer": 0, "effect": False})
 
 
+def cut_database(cluster, name, cut):
+    """Cuts all instances off a database."""
+    address = next(each["addr"] for each in cluster.platform.databases()
+                   if each["id"] == name)
+    for links in cluster.proxies:
+        links.cut_database(address, cut)
+
+
 def late_promotion(cluster):
     """A call that was given up takes effect when another database leads."""
+    platform = cluster.platform
     with Traffic(cluster) as writers:
-        cluster.platform.order(promotion=[
-            {"count": 1, "answer": 0, "effect_late_ms": EFFECT_LATE_MS},
-            {"count": 1, "answer": 409, "effect": False}])
+        platform.order(promotion=[
+            {"count": 1, "answer": 0, "effect_late_ms": EFFECT_LATE_MS}])
         old = crash_primary(cluster, writers)
+        first = wait_until("a promotion is called", platform.promotion_calls,
+                           CHANGE_LIMIT_S, 0.005)[0]
+        platform.order(promotion=[
+            {"id": first, "answer": 409, "effect": False, "count": 100}])
         began = time.monotonic()
+        cut_database(cluster, first, True)
         wait_until("it is replaced", lambda: replaced(cluster, old),
                    CHANGE_LIMIT_S)
         opened = cluster.platform.primary()
-        wait_for_writes(cluster, writers, time.monotonic())
-        print(f"    {opened['id']} was opened {time.monotonic() - began:.2f} s "
-              "after the crash")
+        cut_database(cluster, first, False)
+        expect(opened["id"] != first, "the database was not given up")
+        print(f"    {opened['id']} was opened {time.monotonic() - began:.2f} "
+              "s after the first call")
         wait_until("the late promotion takes effect",
                    lambda: replaced(cluster, opened), CHANGE_LIMIT_S, 0.005)
         effect = time.monotonic()
         print(f"    the late one took effect {effect - began:.2f} s after it")
-        time.sleep(PROGRESS_BOUND_S)
-        wait_for_writes(cluster, writers, time.monotonic())
+        wait_for_writes(cluster, writers, effect)
     report_calls(cluster)
-    calls = cluster.platform.promotion_calls()
-    expect(cluster.platform.primary()["id"] == calls[0],
+    expect(platform.primary()["id"] == first,
            "the database that was given up does not lead")
     kept = kept_items(cluster, writers)
     judge_kept(writers, kept, (effect - DELIVERY_S, effect))
--- a/tools/standin/platform/line_server.cc
+++ b/tools/standin/platform/line_server.cc
@@ -75,7 +75,8 @@
   server_.reset();
 }
 
-void line_server::Start() {
+void line_server::Start(std::chrono::milliseconds silent) {
+  silent_until_ = std::chrono::steady_clock::now() + silent;
   if (server_ == nullptr) {
     Listen(port_);
   }
--- a/tools/standin/platform/line_server.h
+++ b/tools/standin/platform/line_server.h
@@ -64,8 +64,9 @@
 
   /// Drops all connections and stops listening.
   void Crash();
-  /// Listens again at the same port, with the log it had.
-  void Start();
+  /// Listens again at the same port, with the log it had. It registers itself
+  /// when it has been `silent` for so long.
+  void Start(std::chrono::milliseconds silent);
   /// While dark it answers nothing and keeps its connections.
   void SetDark(bool dark) { dark_ = dark; }
   void SetDraining(bool draining) { draining_ = draining; }
@@ -74,6 +75,8 @@
   /// The Unix millisecond of its last start.
   std::int64_t Born() const { return born_ms_; }
 
+  steady_time SilentUntil() const { return silent_until_; }
+
   // For its connections.
 
   line_group& Group() { return group_; }
@@ -100,6 +103,7 @@
   std::atomic<bool> draining_ = false;
   std::atomic<std::uint64_t> epoch_ = 1;
   std::atomic<std::int64_t> born_ms_ = 0;
+  std::atomic<steady_time> silent_until_{};
   std::uint16_t port_ = 0;
   Poco::ThreadPool threads_;
   std::unique_ptr<Poco::Net::TCPServer> server_;
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -47,7 +47,7 @@
   void Register(std::size_t index);
   std::string Describe(std::size_t index) const;
   line_server* Find(const std::string& id);
-  void Order(line_server& target, const std::string& order);
+  void Order(line_server& target, const json_object& order);
 
   platform_store store_;
   std::chrono::milliseconds beat_;
@@ -89,6 +89,9 @@
     }
     return;
   }
+  if (now < server.SilentUntil()) {
+    return;
+  }
   const std::string said = Describe(index);
   if (said == entry.said && now - entry.written < beat_) {
     return;
@@ -149,13 +152,14 @@
   return answer.status == 0 ? std::nullopt : std::optional(answer);
 }
 
-void platform_world::Order(line_server& target, const std::string& order) {
+void platform_world::Order(line_server& target, const json_object& body) {
+  const std::string order = TextMember(body, "order");
   if (order == "crash") {
     target.Crash();
   } else if (order == "start") {
     target.SetDark(false);
     target.SetDraining(false);
-    target.Start();
+    target.Start(std::chrono::milliseconds(IntegerMember(body, "silent_ms")));
   } else if (order == "dark" || order == "light") {
     target.SetDark(order == "dark");
   } else if (order == "drain") {
@@ -197,7 +201,7 @@
     if (target == nullptr) {
       throw Poco::InvalidArgumentException("no database " + id);
     }
-    Order(*target, TextMember(order, "order"));
+    Order(*target, order);
   }
   return answer;
 }
--- a/tools/standin/platform/promotion_faults.cc
+++ b/tools/standin/platform/promotion_faults.cc
@@ -14,7 +14,8 @@
         std::chrono::milliseconds(IntegerMember(one, "effect_late_ms"));
     next.fault.answer_late =
         std::chrono::milliseconds(IntegerMember(one, "answer_late_ms"));
-    next.same = one->optValue("same", false);
+    next.id = TextMember(one, "id");
+    next.same = !next.id.empty() || one->optValue("same", false);
     if (one->has("count")) {
       next.left = IntegerMember(one, "count");
     }
--- a/tools/standin/platform/promotion_faults.h
+++ b/tools/standin/platform/promotion_faults.h
@@ -27,11 +27,11 @@
 /// Faults on command, one after the other. Safe for use by several threads.
 class promotion_faults {
  public:
-  /// Replaces the faults. One with `same` befalls only calls that name the same
-  /// database as the first that it befell. Each has `answer`, `effect`,
-  /// `effect_late_ms` and `answer_late_ms`, those of a call without a fault by
-  /// default, and befalls `count` calls, or those of the next `for_ms`; both
-  /// unlimited by default.
+  /// Replaces the faults. One with `id` befalls only calls that name this
+  /// database, one with `same` those of the first that it befell. Each has
+  /// `answer`, `effect`, `effect_late_ms` and `answer_late_ms`, those of a call
+  /// without a fault by default, and befalls `count` calls, or those of the
+  /// next `for_ms`; both unlimited by default.
   void Set(const std::vector<json_object>& faults);
   /// What becomes of a call that names this database.
   promotion_fault Take(const std::string& id);
