Do not let a connection that was shut down be opened again

Cause: the destructor of a watch, and http_channel::Interrupt, shut down the socket that is registered. If that happens between the registration and the send, the send fails with EPIPE, and HTTPClientSession::write answers by connecting again and sending the request over a socket that nobody knows. The destructor then joins a thread that waits for the answer of the new connection: with a silent server up to the idle timeout. ~HTTPClientSession does the same with what is left of the request.

Change: http_session overrides write, so that a failed send fails, and discards the rest of the request in its own destructor, where its write still applies. A write request whose first send fails is now reported as kUnknown, where POCO sent it a second time unseen.

Test: a_connection_that_was_shut_down_is_not_opened_again needs no timing.

--- a/include/marjoramslip/kv/http_channel.h
+++ b/include/marjoramslip/kv/http_channel.h
@@ -40,6 +40,9 @@
 class http_session : public Poco::Net::HTTPClientSession {
  public:
   explicit http_session(const http_address& address);
+  ~http_session() override;
+  http_session(const http_session&) = delete;
+  http_session& operator=(const http_session&) = delete;
 
   /// Connects unless already connected; throws on failure.
   void Connect(duration timeout);
@@ -49,6 +52,11 @@
   void Send(const http_request& request);
   /// Sets the timeout of each single connect, send and receive operation.
   void SetIoTimeout(duration timeout);
+
+ protected:
+  /// Fails if the connection is lost. POCO would connect again and resend, over
+  /// a socket that whoever shut down the lost one does not know.
+  int write(const char* buffer, std::streamsize length) override;
 };
 
 /// Whether a request may change state on the server.
--- a/lib/kv/http_channel.cc
+++ b/lib/kv/http_channel.cc
@@ -40,6 +40,15 @@
   setKeepAliveTimeout(Poco::Timespan(Poco::Timespan::DAYS));
 }
 
+http_session::~http_session() {
+  try {
+    // The base class would send what is left past the write of this class.
+    flushRequest();
+  } catch (const Poco::Exception&) {
+    // The request was not sent completely, which Send has reported.
+  }
+}
+
 void http_session::Connect(duration timeout) {
   if (connected()) {
     return;
@@ -81,6 +90,10 @@
   }
 }
 
+int http_session::write(const char* buffer, std::streamsize length) {
+  return HTTPSession::write(buffer, length);
+}
+
 /// Registers a session as active during its own lifetime, for Interrupt.
 class http_channel::active_session_guard {
  public:
--- a/unittests/kv/etcd_store_test.cc
+++ b/unittests/kv/etcd_store_test.cc
@@ -3,12 +3,16 @@
 
 #include "marjoramslip/kv/etcd_store.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+
 #include <condition_variable>
 #include <csignal>
 
 #include "etcd_messages.h"
 #include "fake_gateway.h"
 #include "marjoramslip/base/attempt.h"
+#include "marjoramslip/kv/http_channel.h"
 #include "story.h"
 
 namespace marjoramslip::kv {
@@ -279,6 +283,30 @@
   }
 }
 
+Test(etcd_store, a_connection_that_was_shut_down_is_not_opened_again) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const auto is_connecting = [&] {
+    return server.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+  };
+  bool failed = false;
+  {
+    http_session session({"127.0.0.1", server.address().port()});
+    session.Connect(std::chrono::seconds(5));
+    REQUIRE(is_connecting());
+    const auto accepted = server.acceptConnection();
+    // A watch that is destroyed, or Interrupt, may do this before the send.
+    session.socket().shutdown();
+    try {
+      session.Send({.path = "/v3/watch", .body = "{}"});
+    } catch (const Poco::Exception&) {
+      failed = true;
+    }
+  }
+  EXPECT(failed);
+  EXPECT(!is_connecting());
+}
+
 Test(etcd_store, destroying_a_watch_does_not_wait_for_the_stream) {
   fake_gateway gateway([](const std::string&, const std::string&) {
     fake_reply reply;
