Let the test of a destroyed watch depend on the stream and not on the machine

Cause, as far as runs show it: the test slept 50 ms and took the watch to be in its stream then.

Change: the server never ends the stream, and the watch is destroyed only once it has received a change over it. Waiting for the stream now takes the idle timeout of 30 s and fails the test in whichever of three rounds it occurs. The bound of 250 ms stays for the fastest round, so a delay that each destruction has still fails. A delay below 15 s that only some rounds have, and that is not the end of the stream, is not told from a thread held up.

Checked: without the shutdown in the destructor the test fails (3 of 3).

--- a/unittests/kv/etcd_store_test.cc
+++ b/unittests/kv/etcd_store_test.cc
@@ -5,7 +5,9 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/NumberFormatter.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <csignal>
 
@@ -308,22 +310,39 @@
 }
 
 Test(etcd_store, destroying_a_watch_does_not_wait_for_the_stream) {
-  fake_gateway gateway([](const std::string&, const std::string&) {
-    fake_reply reply;
-    reply.chunked = true;
-    reply.stay_open = milliseconds(300);
-    return reply;
-  });
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string message =
+      R"({"result":{"events":[{"kv":{"key":"Zg==","mod_revision":"1"}}]}})"
+      "\n";
   etcd_options options;
-  options.addresses = {gateway.Address()};
+  options.addresses = {"http://" + server.address().toString()};
   options.watch_idle_timeout = std::chrono::seconds(30);
   const auto store = MakeEtcdStore(options).value();
-  auto watch = store->Watch(
-      "f", 1, [](const change&) {}, [] {});
-  std::this_thread::sleep_for(milliseconds(50));
-  const auto start = std::chrono::steady_clock::now();
-  watch.value().reset();
-  EXPECT(std::chrono::steady_clock::now() - start < milliseconds(250));
+  auto fastest = std::chrono::steady_clock::duration::max();
+  for (int round = 0; round < 3; ++round) {
+    event_collector seen;
+    auto watch = store->Watch(
+        "f", 1, [&](const change&) { seen.Add("change"); }, [] {});
+    REQUIRE(server.poll(Poco::Timespan(5, 0), Poco::Net::Socket::SELECT_READ));
+    auto stream = server.acceptConnection();
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Poco::NumberFormatter::formatHex(message.size()) + "\r\n" + message +
+        "\r\n";
+    stream.sendBytes(answer.data(), static_cast<int>(answer.size()));
+    REQUIRE(seen.Await(1).size() == 1);
+    // Lets the watch read again; it ends at once if it did not get so far.
+    std::this_thread::sleep_for(milliseconds(50));
+    const auto start = std::chrono::steady_clock::now();
+    watch.value().reset();
+    const auto spent = std::chrono::steady_clock::now() - start;
+    // The stream is still open, so the idle timeout alone would end the wait.
+    REQUIRE(spent < options.watch_idle_timeout / 2);
+    fastest = std::min(fastest, spent);
+  }
+  // The machine may hold up the thread of one watch, but not of each.
+  EXPECT(fastest < milliseconds(250));
 }
 
 }  // namespace marjoramslip::kv
