Ask again for a read whose database is in a term without a record here

Nothing wrong was shown: the database had checked the position itself, but the record of its term had not arrived, so the position could not be compared.

Change: such a read is tried again, as under a term that is over.

--- a/lib/core/answer_release.cc
+++ b/lib/core/answer_release.cc
@@ -141,6 +141,13 @@
     const log_point served = group.terms.Service().term_bound
                                  ? request.served_from
                                  : request.answer_point;
+    if (!group.terms.Service().term_bound &&
+        served.term > group.terms.LogTerm()) {
+      // The record of that term has not arrived, so nothing is known of its
+      // log.
+      FailUnconfirmed(core, request, true);
+      return;
+    }
     const bool reached =
         request.sent_to_primary || group.terms.Covers(served, *request.floor);
     if (!core.Check(reached, "a read is served below its floor", request.id)) {
--- a/unittests/core/replica_reads_test.cc
+++ b/unittests/core/replica_reads_test.cc
@@ -46,6 +46,35 @@
   EXPECT(world.violations == 0);
 }
 
+// Guards against an error for a read whose database is in a term of which the
+// record has not arrived.
+Test(replica_reads, an_answer_of_an_unknown_term_is_asked_for_again) {
+  promoted_world world;
+  const request_id write = world.SendStatement(statement_kind::kWrite);
+  world.State("a").position = 11;
+  world.AnswerStatement(write);
+  REQUIRE(world.IsReleased(write));
+  world.State("b").position = 11;
+  world.ApplyEvent(
+      probe_answered{harness::Id("b"), world.Now(), world.State("b")});
+  // The primary's connections are busy, so a replica is asked.
+  for (std::uint64_t other = 3; other < 6; ++other) {
+    world.ApplyEvent(caller_opened{caller_id{other}, "fresh", {}});
+    world.SendStatement(statement_kind::kWrite, {}, caller_id{other});
+  }
+  const request_id read = world.SendStatement(statement_kind::kRead);
+  world.AdvanceTime(milliseconds(100));
+  REQUIRE(world.IsInFlight(read));
+  const endpoint_id asked = world.EndpointOf(read);
+  REQUIRE(asked != harness::Id("a"));
+  world.State(asked == harness::Id("b") ? "b" : "c") = {
+      2, 2, 12, endpoint_role::kPrimary, true, false, {2, 12}};
+  world.AnswerStatement(read);
+  EXPECT(!world.IsReleased(read));
+  EXPECT(!world.FailureOf(read).has_value());
+  EXPECT(world.violations == 0);
+}
+
 Test(replica_reads, a_read_names_the_position_it_needs) {
   promoted_world world;
   const request_id write = world.SendStatement(statement_kind::kWrite);
