Replace lost witnesses in one write when every instance holds the record

Callers: no writes for 2 to 3 s after all databases of a group had returned under other ids.

Cause: witnesses that were gone were removed one after the other, down to none, before one was added; each write waits for all instances to acknowledge the one before, some 600 ms, and without a majority there is no permit.

Change: without a permit, and once all instances hold the record, all that are gone are replaced at once. The sets need not share a member: the next change of primary waits for each instance's acknowledgement or lease, whatever set it knows.

--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -397,7 +397,11 @@
   void MoveLaggingEndpoints(instant now, effect_list& effects);
   std::vector<endpoint_id> NextWitnesses() const;
   void ReviewWitnesses(instant now, effect_list& effects);
+  bool MayBecomeWitness(const endpoint_view& view) const;
   void ReplaceWitness(instant now, effect_list& effects);
+  void ReplaceLostWitnesses(instant now, effect_list& effects);
+  void WriteWitnesses(std::vector<endpoint_id> witnesses, instant now,
+                      effect_list& effects);
   void ReviewWitnessesAsDutyHolder(instant now, effect_list& effects);
 
   const core_options& options_;
--- a/lib/core/group_upkeep.cc
+++ b/lib/core/group_upkeep.cc
@@ -114,12 +114,16 @@
   }
 }
 
+bool group_terms::MayBecomeWitness(const endpoint_view& view) const {
+  return !IsWitness(view.spec.Id()) && !view.spec.leaving &&
+         ContainsLogUpTo(view.spec.Id(), log_point{Term(), 0});
+}
+
 /// Adds or removes one witness within the term. Majorities of two sets that
 /// differ by one member intersect, so permits obtained from the old set remain
 /// safe for instances that use the new one.
 void group_terms::ReplaceWitness(instant now, effect_list& effects) {
-  group_record next = record_.record;
-  std::vector<endpoint_id>& witnesses = next.witnesses;
+  std::vector<endpoint_id> witnesses = record_.record.witnesses;
   const auto removed =
       std::find_if(witnesses.begin(), witnesses.end(),
                    [this](endpoint_id id) { return !endpoints_.contains(id); });
@@ -127,18 +131,40 @@
     witnesses.erase(removed);
   } else {
     const auto added = std::find_if(
-        endpoints_.begin(), endpoints_.end(), [this](const auto& entry) {
-          return !IsWitness(entry.first) && !entry.second.spec.leaving &&
-                 ContainsLogUpTo(entry.first, log_point{Term(), 0});
-        });
+        endpoints_.begin(), endpoints_.end(),
+        [this](const auto& entry) { return MayBecomeWitness(entry.second); });
     if (added == endpoints_.end()) {
       return;
     }
     witnesses.push_back(added->first);
   }
+  WriteWitnesses(std::move(witnesses), now, effects);
+}
+
+/// Replaces all witnesses that are gone by all databases of the term. The sets
+/// need not intersect: every instance holds the record, so none is left out of
+/// the wait for acknowledgements or leases at the next change of primary.
+void group_terms::ReplaceLostWitnesses(instant now, effect_list& effects) {
+  std::vector<endpoint_id> witnesses = record_.record.witnesses;
+  std::erase_if(witnesses,
+                [this](endpoint_id id) { return !endpoints_.contains(id); });
+  for (const auto& [id, view] : endpoints_) {
+    if (MayBecomeWitness(view)) {
+      witnesses.push_back(id);
+    }
+  }
+  if (witnesses != record_.record.witnesses) {
+    WriteWitnesses(std::move(witnesses), now, effects);
+  }
+}
+
+void group_terms::WriteWitnesses(std::vector<endpoint_id> witnesses,
+                                 instant now, effect_list& effects) {
   Log(effects, log_level::kInfo, "group.witnesses",
       std::to_string(witnesses.size()) + " databases are witnesses of the term",
       Primary());
+  group_record next = record_.record;
+  next.witnesses = std::move(witnesses);
   StartRecordWrite(std::move(next), step::kReplacingWitnesses, now, effects);
 }
 
@@ -187,7 +213,7 @@
   next_review_ = now + kReviewIntervalWithoutPermit;
   RequestMembers(now, effects);
   if (AllAcknowledged(record_.revision)) {
-    ReplaceWitness(now, effects);
+    ReplaceLostWitnesses(now, effects);
     return;
   }
   for (const recent_peer& peer : peers_) {
--- a/unittests/core/returned_primary_test.cc
+++ b/unittests/core/returned_primary_test.cc
@@ -132,6 +132,29 @@
   EXPECT(world.promotions.empty());
 }
 
+// Guards against a group whose witnesses are replaced one after the other while
+// none of them is left.
+Test(returned_primary, with_all_other_databases_under_other_ids) {
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  catalogue declared = world.MakeCatalogue(2);
+  for (endpoint_spec& endpoint :
+       declared.services.at("ledger").groups[0].endpoints) {
+    endpoint.identity = endpoint.name;
+    endpoint.name += ".2";
+    world.State(endpoint.name.c_str()) = world.State(endpoint.identity.c_str());
+  }
+  world.ApplyEvent(catalogue_seen{declared});
+  world.AdvanceTime(milliseconds(1500));
+  const request_id write =
+      world.SendStatement(statement_kind::kWrite, {}, kFreshCaller);
+  world.AdvanceTime(milliseconds(50));
+  REQUIRE(world.IsInFlight(write));
+  world.AnswerStatement(write);
+  world.AdvanceTime(milliseconds(200));
+  EXPECT(world.IsReleased(write));
+}
+
 Test(returned_primary, serves_a_group_without_replicas_again) {
   sealed_world world;
   catalogue alone = world.MakeCatalogue(2);
