--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -25,10 +25,10 @@
 
 namespace marjoramslip {
 
-/// Time for an accepted promotion to take effect, which is some hundred
-/// milliseconds, and to be reported by the candidate.
+/// Time for an accepted promotion to take effect, which takes the platform up to
+/// 1 s, and to be reported by the candidate.
 inline constexpr duration kPromotionEffectTimeout =
-    std::chrono::milliseconds(2000);
+    std::chrono::milliseconds(1500);
 
 /// The last known state of one endpoint of a group. Sampling times are the
 /// times at which the request was sent, so that the state is no older.
--- a/unittests/core/promotion_outcomes_test.cc
+++ b/unittests/core/promotion_outcomes_test.cc
@@ -42,7 +42,7 @@
   requested_world world;
   world.Answer(promotion_outcome::kAccepted);
   SECTION("is waited for") {
-    world.AdvanceTime(milliseconds(1500));
+    world.AdvanceTime(milliseconds(1300));
     EXPECT(world.promotions.size() == 1);
   }
   SECTION("is followed by the promotion of another, without a new seal") {
@@ -170,7 +170,7 @@
     REQUIRE(world.promotions.size() == 2);
     EXPECT(world.promotions[1].endpoint == harness::Id("a"));
     world.Answer(promotion_outcome::kAccepted);
-    world.AdvanceTime(milliseconds(1500));
+    world.AdvanceTime(milliseconds(1300));
     EXPECT(world.Record().phase == group_phase::kSealed);
     world.AdvanceTime(seconds(1));
     REQUIRE(world.Record().phase == group_phase::kOpen);
