--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -25,8 +25,8 @@
 
 namespace marjoramslip {
 
-/// Time for an accepted promotion to take effect, which takes the platform up to
-/// 1 s, and to be reported by the candidate.
+/// Time for an accepted promotion to take effect, which takes the platform up
+/// to 1 s, and to be reported by the candidate.
 inline constexpr duration kPromotionEffectTimeout =
     std::chrono::milliseconds(1500);
 
