Hand a group back while the platform accepts no promotion

Found by reading the change once more. Callers would have seen a group closed for as long as the platform is out, with its primary back or, at planned work, never gone: the candidate is kept while nothing is accepted, and a chosen candidate kept the old primary from getting its group back.

Change: after 1 s without an accepted request, and none under way that may take effect, a primary that answers gets its group back; a planned change that ended so waits 5 s. An answer that belongs to an earlier change is passed over: it made the next change wait for an effect that nobody had asked for. A candidate that is chosen again keeps the mark that an accepted request may take effect. A candidate that is refused as not running is not written again and again where it is the old primary.

--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -346,6 +346,9 @@
   bool IsPlanned() const;
   /// Opens the old term again with its primary, `present`.
   void HandBack(endpoint_id present, instant now, effect_list& effects);
+  /// True if the platform has not accepted the candidate's promotion for a
+  /// while, and no request is under way.
+  bool IsPromotionStalled(instant now) const;
   /// Hands the group back if its primary has returned in time. Returns whether
   /// it does.
   bool HandBackIfReturned(instant now, effect_list& effects);
@@ -468,6 +471,8 @@
   std::map<unsettled_promotion, instant> unsettled_since_;
   instant next_promotion_{};
   instant next_choice_{};
+  /// When a planned change may be tried again.
+  instant next_planned_change_{};
   duration retry_delay_{};
   std::uint32_t promotion_attempts_ = 0;
   /// The answer to the last attempt; empty until it arrives.
--- a/lib/core/planned_change.cc
+++ b/lib/core/planned_change.cc
@@ -20,7 +20,8 @@
 
 void group_terms::OnPromoteRequested(endpoint_id endpoint, instant now,
                                      effect_list& effects) {
-  if (!Open() || step_ != step::kIdle || !MayDrive(now)) {
+  if (!Open() || step_ != step::kIdle || !MayDrive(now) ||
+      now < next_planned_change_) {
     return;
   }
   StartDraining(endpoint, now, effects);
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -40,6 +40,11 @@
 /// Time for a record to arrive after endpoints have reported a later term.
 /// After that, this instance suspects the primary.
 constexpr duration kLaterTermTimeout = std::chrono::milliseconds(500);
+/// Time after which a primary that answers is handed its group back because the
+/// platform has accepted no promotion, and time until a planned change that
+/// ended so is tried again.
+constexpr duration kStalledPromotionTimeout = std::chrono::milliseconds(1000);
+constexpr duration kPlannedChangeRetryDelay = std::chrono::milliseconds(5000);
 /// Time within which a request must be sent, and within which it is answered
 /// or given up.
 constexpr duration kSendLimit = std::chrono::milliseconds(500);
@@ -231,6 +236,9 @@
     std::replace(next.witnesses.begin(), next.witnesses.end(),
                  record_.record.primary, present);
   }
+  if (IsPlanned()) {
+    next_planned_change_ = now + kPlannedChangeRetryDelay;
+  }
   Log(effects, log_level::kInfo, "group.handed_back",
       "the primary of term " + std::to_string(next.term) +
           " has returned, state " + FormatEndpointState(View(present)->state),
@@ -238,6 +246,13 @@
   StartRecordWrite(std::move(next), step::kHandingBack, now, effects);
 }
 
+bool group_terms::IsPromotionStalled(instant now) const {
+  const auto found = candidacies_.find(record_.record.candidate);
+  return step_ == step::kPromoting && found != candidacies_.end() &&
+         !found->second.in_flight && !found->second.accepted_at.has_value() &&
+         now - step_since_ >= kStalledPromotionTimeout;
+}
+
 bool group_terms::HandBackIfReturned(instant now, effect_list& effects) {
   const endpoint_id present = PresentPrimary();
   if (present == endpoint_id{} || promoted_ || !MayDrive(now)) {
@@ -251,7 +266,7 @@
   }
   const bool is_excluded = (chosen && !candidate_given_up_) || IsPlanned() ||
                            reason_ == reason::kNotReplicating;
-  if (is_excluded && !is_asked) {
+  if (is_excluded && !is_asked && !IsPromotionStalled(now)) {
     return false;
   }
   HandBack(present, now, effects);
@@ -321,7 +336,10 @@
   next.candidate_chosen = true;
   next.candidate_point = point;
   next.unsettled = NextUnsettled(now);
-  candidacies_[candidate].accepted_at.reset();
+  candidacy& request = CandidacyOf(candidate);
+  request.may_take_effect =
+      request.may_take_effect || request.accepted_at.has_value();
+  request.accepted_at.reset();
   next_promotion_ = {};
   Log(effects, log_level::kInfo, "group.candidate",
       "received up to " + FormatLogPoint(point) + ", state " +
@@ -339,12 +357,12 @@
 /// were given up be tried again after a while.
 void group_terms::OnNoCandidate(endpoint_id present, instant now,
                                 effect_list& effects) {
-  if (present != endpoint_id{}) {
-    if (MayHaveBeenPromoted(present)) {
-      WriteCandidate(present, View(present)->state.Point(), now, effects);
-    } else {
-      HandBack(present, now, effects);
-    }
+  if (present != endpoint_id{} && !MayHaveBeenPromoted(present)) {
+    HandBack(present, now, effects);
+    return;
+  }
+  if (present != endpoint_id{} && !CandidacyOf(present).given_up) {
+    WriteCandidate(present, View(present)->state.Point(), now, effects);
     return;
   }
   const auto any_given_up =
@@ -392,7 +410,11 @@
 void group_terms::OnPromotionAnswered(const promotion_answered& answer,
                                       instant now, effect_list& effects) {
   LogPromotionAnswer(answer, effects);
-  candidacy& request = candidacies_[answer.endpoint];
+  const auto found = candidacies_.find(answer.endpoint);
+  if (found == candidacies_.end() || !found->second.in_flight) {
+    return;  // It was requested in an earlier change.
+  }
+  candidacy& request = found->second;
   request.in_flight = false;
   switch (answer.outcome) {
     case promotion_outcome::kAccepted:
