Log how sessions end, and what the end of a process leaves undone

session.cut names the unanswered statement of a session that ended, the side that ended it, the age of the statement and the unsent bytes; drain.completed and sessions.ended count the sessions by their state; loop.long_turn tells that nothing was read for 100 ms or more. marjoramslip_sessions_cut_total counts the same. At most 50 lines a second, as for failed requests.

Nothing else changes.

--- a/include/marjoramslip/runtime/caller_front.h
+++ b/include/marjoramslip/runtime/caller_front.h
@@ -3,12 +3,41 @@
 #ifndef MARJORAMSLIP_RUNTIME_CALLER_FRONT_H_
 #define MARJORAMSLIP_RUNTIME_CALLER_FRONT_H_
 
+#include <cstddef>
 #include <string_view>
 
+#include "marjoramslip/base/time.h"
 #include "marjoramslip/core/effects.h"
+#include "marjoramslip/runtime/stream_connection.h"
 
 namespace marjoramslip::shell {
 
+/// A session that ended with its last statement unanswered, or with an answer
+/// that was not sent whole. Views are valid during the call.
+struct session_cut {
+  request_id request;          ///< The unanswered statement; 0: none.
+  std::string_view statement;  ///< What the caller calls it, if it does.
+  duration age{};              ///< Since that statement was read.
+  std::size_t unsent_bytes = 0;
+  close_cause cause = close_cause::kInstance;
+};
+
+/// Is told of sessions that end early.
+class session_observer {
+ public:
+  virtual ~session_observer() = default;
+  virtual void OnSessionCut(const session_cut& cut) = 0;
+};
+
+/// The sessions of a front by their state.
+struct session_counts {
+  std::size_t starting = 0;  ///< Connected; the startup is not complete.
+  std::size_t open = 0;
+  std::size_t closing = 0;      ///< The core has closed the caller.
+  std::size_t in_progress = 0;  ///< Those with a statement in progress.
+  std::size_t unsent_bytes = 0;
+};
+
 /// Accepts callers' connections, turns statements into events and answers
 /// into bytes. Lives on the loop's thread.
 class caller_front {
@@ -23,6 +52,12 @@
   /// Stops accepting connections.
   virtual void StopListening() = 0;
 
+  /// `observer` must outlive the front; null: nobody.
+  virtual void SetObserver(session_observer* observer) = 0;
+  virtual session_counts Sessions() const = 0;
+  /// Closes all sessions at once, whatever they wait for.
+  virtual void CloseSessions() = 0;
+
   /// What the caller calls the request; empty if its protocol has no names.
   virtual std::string_view NameOf(request_id /*request*/) const { return {}; }
 
--- a/include/marjoramslip/runtime/stream_connection.h
+++ b/include/marjoramslip/runtime/stream_connection.h
@@ -15,6 +15,14 @@
 
 namespace marjoramslip::shell {
 
+/// Why a connection was closed.
+enum class close_cause : std::uint8_t {
+  kInstance,  ///< This process closed it.
+  kCaller,    ///< The caller closed it.
+  kFailure,   ///< A reset, or another error of the socket.
+  kStall,     ///< The caller took no byte for the time allowed.
+};
+
 /// Is told of what happens on a connection.
 class connection_user {
  public:
@@ -60,15 +68,18 @@
   void Close();
   bool Open() const { return open_; }
   bool Closing() const { return closing_; }
+  /// Why it was closed; meaningful once it is.
+  close_cause Cause() const { return cause_; }
 
   void OnReadable() override;
   void OnWritable() override;
-  void OnSocketError() override { Close(); }
+  void OnSocketError() override { CloseFor(close_cause::kFailure); }
 
  private:
   void Register(bool reading, bool writing);
   bool SendSome();
   void EndOutput();
+  void CloseFor(close_cause cause);
   void CloseIn(duration delay);
   void WatchForStall();
   void CheckStallAfter(duration delay);
@@ -85,6 +96,7 @@
   bool writing_ = false;
   bool open_ = true;
   bool closing_ = false;
+  close_cause cause_ = close_cause::kInstance;
   bool lingers_ = false;  ///< Waits for the caller's end when flushed.
   bool output_ended_ = false;
   bool stuck_ = false;          ///< Bytes wait since `progress_` or later.
--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -44,6 +44,11 @@
   }
   void Close(const close_caller& command) override;
   void StopListening() override { acceptor_.Stop(); }
+  void SetObserver(shell::session_observer* observer) override {
+    observer_ = observer;
+  }
+  shell::session_counts Sessions() const override;
+  void CloseSessions() override;
   std::string_view NameOf(request_id request) const override {
     const line_session* const session = Find(request);
     return session == nullptr ? std::string_view() : session->StatementId();
@@ -97,6 +102,7 @@
   const line_codec& codec_;
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
+  shell::session_observer* observer_ = nullptr;
   std::unordered_map<caller_id, std::unique_ptr<line_session>> sessions_;
   std::unordered_map<request_id, line_session*> requests_;
   /// Ended sessions that may still be on the call stack; destroyed in a later
@@ -148,6 +154,9 @@
 }
 
 void front::OnSessionEnded(line_session& session) {
+  if (const auto cut = session.Cut(); cut && observer_ != nullptr) {
+    observer_->OnSessionCut(*cut);
+  }
   if (session.Started()) {
     loop_.Post(caller_closed{session.Caller()});
   }
@@ -159,6 +168,20 @@
   RunAfter(duration{0}, [](front& self) { self.ended_sessions_.clear(); });
 }
 
+shell::session_counts front::Sessions() const {
+  shell::session_counts counts;
+  for (const auto& [caller, session] : sessions_) {
+    session->CountInto(counts);
+  }
+  return counts;
+}
+
+void front::CloseSessions() {
+  while (!sessions_.empty()) {
+    sessions_.begin()->second->Abort();
+  }
+}
+
 line_session* front::Find(request_id request) const {
   const auto found = requests_.find(request);
   return found == requests_.end() ? nullptr : found->second;
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -80,11 +80,29 @@
   ended_ = true;
   if (request_ != request_id{}) {
     owner_.EndRequest(request_);
-    request_ = {};
   }
   owner_.OnSessionEnded(*this);
 }
 
+void line_session::CountInto(shell::session_counts& counts) const {
+  ++(!started_ ? counts.starting : closing_ ? counts.closing : counts.open);
+  counts.in_progress += request_ != request_id{} ? 1 : 0;
+  counts.unsent_bytes += connection_.Pending();
+}
+
+std::optional<shell::session_cut> line_session::Cut() const {
+  const bool in_progress = request_ != request_id{};
+  if (!in_progress && connection_.Pending() == 0) {
+    return std::nullopt;
+  }
+  return shell::session_cut{
+      .request = request_,
+      .statement = id_,
+      .age = in_progress ? owner_.Loop().Now() - read_at_ : duration{},
+      .unsent_bytes = connection_.Pending(),
+      .cause = connection_.Cause()};
+}
+
 /// Handles lines until a statement waits for its answer.
 void line_session::ProcessInput() {
   if (processing_) {
@@ -228,6 +246,7 @@
   arguments_ = statement.value;
   answer_.clear();
   request_ = owner_.BeginRequest(*this);
+  read_at_ = owner_.Loop().Now();
   owner_.Loop().Post(statement_received{
       .caller = caller_, .request = request_, .kind = kind_, .settings = {}});
 }
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,6 +15,7 @@
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
 #include "marjoramslip/lines/line_front.h"
+#include "marjoramslip/runtime/caller_front.h"
 #include "marjoramslip/runtime/event_loop.h"
 #include "marjoramslip/runtime/stream_connection.h"
 #include "session_state.h"
@@ -51,9 +53,14 @@
   /// The id that the caller gave the statement in progress.
   std::string_view StatementId() const { return id_; }
   bool Started() const { return started_; }
+  void CountInto(shell::session_counts& counts) const;
+  /// What the end of the session left undone; empty if nothing.
+  std::optional<shell::session_cut> Cut() const;
 
   /// Closes the connection if the caller has not sent its startup in time.
   void EndStartup();
+  /// Closes the connection at once.
+  void Abort() { connection_.Close(); }
   /// Ends the period in which statements in transit are refused, and closes the
   /// connection.
   void EndRefusalPeriod() { connection_.CloseAfterFlush(); }
@@ -108,6 +115,7 @@
 
   // The statement in progress.
   request_id request_;
+  instant read_at_{};
   std::string id_;
   std::string text_;
   std::string arguments_;
--- a/lib/postgres/caller_session.cc
+++ b/lib/postgres/caller_session.cc
@@ -63,10 +63,32 @@
 }
 
 void caller_session::OnGone() {
-  EndRequest();
+  if (Running()) {
+    host_.End(request_);
+  }
   host_.Gone(*this);
 }
 
+void caller_session::CountInto(session_counts& counts) const {
+  ++(!key_                   ? counts.starting
+     : connection_.Closing() ? counts.closing
+                             : counts.open);
+  counts.in_progress += Running() ? 1 : 0;
+  counts.unsent_bytes += connection_.Pending();
+}
+
+std::optional<session_cut> caller_session::Cut() const {
+  if (!Running() && connection_.Pending() == 0) {
+    return std::nullopt;
+  }
+  return session_cut{
+      .request = request_,
+      .statement = {},
+      .age = Running() ? host_.Loop().Now() - read_at_ : duration{},
+      .unsent_bytes = connection_.Pending(),
+      .cause = connection_.Cause()};
+}
+
 void caller_session::EndStartup() {
   if (!key_) {
     connection_.Close();
--- a/lib/postgres/caller_session.h
+++ b/lib/postgres/caller_session.h
@@ -14,6 +14,7 @@
 #include "caller_settings.h"
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
+#include "marjoramslip/runtime/caller_front.h"
 #include "marjoramslip/runtime/stream_connection.h"
 #include "marjoramslip/settings/settings.h"
 #include "marjoramslip/sql/classify.h"
@@ -54,6 +55,9 @@
   std::optional<cancel_key> Key() const { return key_; }
   std::string_view Text() const { return text_; }
   caller_answer& Answer() { return answer_; }
+  void CountInto(session_counts& counts) const;
+  /// What the end of the session left undone; empty if nothing.
+  std::optional<session_cut> Cut() const;
   bool Accepting() const;
   /// A row was added to the answer.
   void NoteRow() { full_ = full_ || !Accepting(); }
@@ -62,6 +66,8 @@
   void Release(const release_answer& what);
   void Fail(const fail_request& what);
   void Close(const failure& reason);
+  /// Closes the connection at once.
+  void Abort() { connection_.Close(); }
   /// Gives up a caller that has not finished its startup.
   void EndStartup();
 
@@ -112,6 +118,7 @@
   bool skipping_ = false;    ///< Until Sync.
   bool processing_ = false;  ///< Process is on the stack.
   request_id request_;
+  instant read_at_{};
   statement_kind kind_ = statement_kind::kRead;
   std::string text_;
   bool full_ = false;  ///< Rows were stopped for want of room.
--- a/lib/postgres/caller_statement.cc
+++ b/lib/postgres/caller_statement.cc
@@ -193,6 +193,7 @@
   text_ = text;
   kind_ = kind;
   request_ = host_.Begin(*this);
+  read_at_ = host_.Loop().Now();
   // In a transaction nothing lasts before its end.
   const bool partly = !atomic && status_ == status::kIdle;
   answer_.Start(partly ? verdict::kMayHaveRun : verdict::kNotRun);
--- a/lib/postgres/postgres_front.cc
+++ b/lib/postgres/postgres_front.cc
@@ -31,6 +31,11 @@
     listener_ = listener;
   }
   void StopListening() override { acceptor_.Stop(); }
+  void SetObserver(session_observer* observer) override {
+    observer_ = observer;
+  }
+  session_counts Sessions() const override;
+  void CloseSessions() override;
   std::string_view TenantOf(caller_id caller) const override;
   std::string_view ServiceOf(caller_id caller) const override;
 
@@ -72,6 +77,7 @@
   sql::classifier classifier_;
   cancel_registry cancels_;
   flow_listener* listener_ = nullptr;
+  session_observer* observer_ = nullptr;
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
   std::size_t admitted_ = 0;
@@ -144,7 +150,24 @@
   }
 }
 
+session_counts front::Sessions() const {
+  session_counts counts;
+  for (const auto& [caller, session] : sessions_) {
+    session->CountInto(counts);
+  }
+  return counts;
+}
+
+void front::CloseSessions() {
+  while (!sessions_.empty()) {
+    sessions_.begin()->second->Abort();
+  }
+}
+
 void front::Gone(caller_session& session) {
+  if (const auto cut = session.Cut(); cut && observer_ != nullptr) {
+    observer_->OnSessionCut(*cut);
+  }
   if (const auto key = session.Key()) {
     cancels_.Forget(*key);
     --admitted_;
--- a/lib/runtime/instance.cc
+++ b/lib/runtime/instance.cc
@@ -79,6 +79,14 @@
   loop.After(notice, [&loop] { loop.Post(drain_requested{}); });
 }
 
+std::string Describe(const session_counts& sessions) {
+  return "starting " + std::to_string(sessions.starting) + ", open " +
+         std::to_string(sessions.open) + ", closing " +
+         std::to_string(sessions.closing) + "; " +
+         std::to_string(sessions.in_progress) + " with a statement, " +
+         std::to_string(sessions.unsent_bytes) + " bytes unsent";
+}
+
 }  // namespace
 
 result<void> RunInstance(const instance_settings& settings, edge_maker& maker) {
@@ -102,6 +110,8 @@
                    .log = log,
                    .measured = measured},
                   [&] {
+                    log.Write(log_level::kInfo, "drain.completed",
+                              Describe(edges->Front().Sessions()));
                     edges->Front().StopListening();
                     loop.After(kFlushTime, [&] { loop.Stop(); });
                   });
@@ -112,6 +122,7 @@
       },
       [&] { settings_file.Reload("asked to reload"); });
   loop.SetConsumer(&running);
+  edges->Front().SetObserver(&running);
   BOOST_LEAF_AUTO(
       server, MakeStatusServer(settings.metrics, maker.ReadyPath(), running));
   std::unique_ptr<status_server> readiness;
@@ -123,9 +134,13 @@
             "metrics on port " + std::to_string(server->Port()) +
                 ", peers on " + peers->Address());
   loop.Run();
+  log.Write(log_level::kInfo, "sessions.ended",
+            Describe(edges->Front().Sessions()));
   readiness.reset();
   server.reset();
   edges->Platform().Leave();
+  edges->Front().CloseSessions();
+  edges->Front().SetObserver(nullptr);
   log.Write(log_level::kInfo, "instance.ended", "all work is done");
   return {};
 }
--- a/lib/runtime/metrics.cc
+++ b/lib/runtime/metrics.cc
@@ -151,6 +151,10 @@
           AddCounter(registry_, "marjoramslip_group_closed_seconds_total",
                      "Time in which a group accepted no writes, by what it "
                      "was waiting for")),
+      sessions_cut_(AddCounter(registry_, "marjoramslip_sessions_cut_total",
+                               "Sessions that ended with a statement "
+                               "unanswered or an answer unsent, by which side "
+                               "ended them")),
       callers_(AddGauge(registry_, "marjoramslip_callers",
                         "Callers, and their requests in progress")),
       connections_(AddGauge(registry_, "marjoramslip_connections",
@@ -218,6 +222,17 @@
 
 void metrics::LoopTurn(duration busy) { loop_seconds_.Observe(Seconds(busy)); }
 
+void metrics::SessionCut(const session_cut& cut) {
+  const bool by_caller = cut.cause == close_cause::kCaller;
+  sessions_cut_
+      .Add({{"by", by_caller                             ? "caller"
+                   : cut.cause == close_cause::kInstance ? "instance"
+                                                         : "network"},
+            {"statement",
+             cut.request == request_id{} ? "answered" : "unanswered"}})
+      .Increment();
+}
+
 void metrics::Observe(const status_report& report) {
   callers_.Add({{"state", "connected"}}).Set(report.callers);
   callers_.Add({{"state", "waiting"}}).Set(report.requests);
--- a/lib/runtime/metrics.h
+++ b/lib/runtime/metrics.h
@@ -17,6 +17,7 @@
 
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/status_report.h"
+#include "marjoramslip/runtime/caller_front.h"
 
 namespace marjoramslip::shell {
 
@@ -42,6 +43,7 @@
   void Counted(const counter_increment& what, const std::string& group);
   void Closed(const group_closed& what, const std::string& group);
   void LoopTurn(duration busy);
+  void SessionCut(const session_cut& cut);
 
   /// Sets the gauges of callers, requests and connections.
   void Observe(const status_report& report);
@@ -66,6 +68,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& verdicts_;
   prometheus::Family<prometheus::Counter>& closed_seconds_;
+  prometheus::Family<prometheus::Counter>& sessions_cut_;
   prometheus::Family<prometheus::Gauge>& callers_;
   prometheus::Family<prometheus::Gauge>& connections_;
   prometheus::Histogram& loop_seconds_;
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -19,6 +19,30 @@
 /// thousandths of a core.
 constexpr std::uint32_t kRequestLines = 50;
 constexpr duration kRequestLineWindow = std::chrono::seconds(1);
+/// A turn of the loop from this length on is logged: nothing was read, sent or
+/// answered meanwhile.
+constexpr duration kLongTurn = std::chrono::milliseconds(100);
+
+std::string_view NameOf(close_cause cause) {
+  switch (cause) {
+    case close_cause::kInstance:
+      return "closed by this instance";
+    case close_cause::kCaller:
+      return "closed by the caller";
+    case close_cause::kFailure:
+      return "reset";
+    case close_cause::kStall:
+      return "the caller took no byte";
+  }
+  return "closed";
+}
+
+std::string Milliseconds(duration value) {
+  return std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(value)
+                 .count()) +
+         " ms";
+}
 
 }  // namespace
 
@@ -33,7 +57,30 @@
   }
 }
 
-void runtime::OnTurn(duration busy) { parts_.measured.LoopTurn(busy); }
+void runtime::OnTurn(duration busy) {
+  parts_.measured.LoopTurn(busy);
+  if (busy >= kLongTurn) {
+    parts_.log.Write(log_level::kWarning, "loop.long_turn", Milliseconds(busy));
+  }
+}
+
+void runtime::OnSessionCut(const session_cut& cut) {
+  parts_.measured.SessionCut(cut);
+  if (!TakeRequestLine()) {
+    return;
+  }
+  std::string text(NameOf(cut.cause));
+  text += cut.request != request_id{}
+              ? ", unanswered " + Milliseconds(cut.age) + " after it was read"
+              : ", answered";
+  text += ", " + std::to_string(cut.unsent_bytes) + " bytes unsent";
+  log_line line;
+  line.level = log_level::kWarning;
+  line.event = "session.cut";
+  line.request = cut.request;
+  line.text = std::move(text);
+  parts_.log.Write(line, names_, cut.statement);
+}
 
 /// Callers are welcome from the first catalogue to the beginning of a drain.
 void runtime::FollowReadiness(const event& what) {
@@ -123,7 +170,13 @@
     parts_.log.Write(what, names_);
     return;
   }
-  // Lines about requests are bounded; the number left out is told.
+  if (TakeRequestLine()) {
+    parts_.log.Write(what, names_, parts_.front.NameOf(what.request));
+  }
+}
+
+/// Lines about requests are bounded; the number left out is told.
+bool runtime::TakeRequestLine() {
   const instant now = parts_.loop.Now();
   if (now - request_lines_since_ >= kRequestLineWindow) {
     request_lines_since_ = now;
@@ -135,10 +188,10 @@
   }
   if (request_lines_ >= kRequestLines) {
     ++lines_left_out_;
-    return;
+    return false;
   }
   ++request_lines_;
-  parts_.log.Write(what, names_, parts_.front.NameOf(what.request));
+  return true;
 }
 
 void runtime::CarryOut(const request_finished& what) {
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -36,7 +36,9 @@
 };
 
 /// Lives on the loop's thread, but for the calls of status_source.
-class runtime final : public event_consumer, public status_source {
+class runtime final : public event_consumer,
+                      public session_observer,
+                      public status_source {
  public:
   /// `on_drained` is called once all work is done after drain_requested.
   runtime(const runtime_parts& parts, std::function<void()> on_drained)
@@ -44,6 +46,7 @@
 
   void Consume(const event& what) override;
   void OnTurn(duration busy) override;
+  void OnSessionCut(const session_cut& cut) override;
 
   std::optional<std::string> Metrics() override;
   std::optional<std::string> Status() override;
@@ -81,6 +84,9 @@
   void CarryOut(const wake_at& what);
   void CarryOut(const drained& what);
 
+  /// True if another line about a request may be written; counts those that
+  /// may not.
+  bool TakeRequestLine();
   /// Runs `make` on the loop's thread and waits for its text; empty if the
   /// loop does not answer.
   std::optional<std::string> OnLoop(std::function<std::string()> make);
--- a/lib/runtime/stream_connection.cc
+++ b/lib/runtime/stream_connection.cc
@@ -89,7 +89,7 @@
     progress_ = loop_.Now();
     return true;
   } catch (const Poco::Exception&) {
-    Close();
+    CloseFor(close_cause::kFailure);
     return false;
   }
 }
@@ -164,11 +164,14 @@
   CloseAfterFlush();
 }
 
-void stream_connection::Close() {
+void stream_connection::Close() { CloseFor(close_cause::kInstance); }
+
+void stream_connection::CloseFor(close_cause cause) {
   if (!open_) {
     return;
   }
   open_ = false;
+  cause_ = cause;
   loop_.Remove(socket_);
   try {
     socket_.close();
@@ -187,13 +190,14 @@
   try {
     count = socket_.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
   } catch (const Poco::Exception&) {
-    count = 0;
+    CloseFor(close_cause::kFailure);
+    return;
   }
   if (count < 0) {
     return;
   }
   if (count == 0) {
-    Close();
+    CloseFor(close_cause::kCaller);
     return;
   }
   if (closing_) {
@@ -236,7 +240,7 @@
   }
   const duration waited = loop_.Now() - progress_;
   if (waited >= stall_) {
-    Close();
+    CloseFor(close_cause::kStall);
     return;
   }
   CheckStallAfter(stall_ - waited);
