Answer callers also after the instance has been drained

What callers saw: a session that sent its startup or a statement after the last caller had gone, and before the process ended, read READY, then nothing, and then the end of the connection (LOST).

Cause (hypothesis A of docs/incidents/lost-answers.md): the reducer ignored every event once it was drained, while the front went on to accept connections, to welcome sessions and to post their statements.

The reducer now still handles the events of callers that need an answer: it closes callers that open and refuses their statements, as it does during the drain. Nothing else goes on.

--- a/lib/core/reducer.cc
+++ b/lib/core/reducer.cc
@@ -109,7 +109,7 @@
   void operator()(const promote_requested& e) const {
     OnPromoteRequested(core, e);
   }
-  void operator()(const drain_requested&) const { OnDrainRequested(core); }
+  void operator()(const drain_requested& e) const { OnDrainRequested(core, e); }
   void operator()(const tick&) const {
     while (const auto owner = core.timers.PopDue(core.now)) {
       RunTimer(core, *owner);
@@ -119,6 +119,14 @@
   }
 };
 
+/// True for events that need an answer after the end of all other work: callers
+/// may connect and send statements until the process has ended.
+bool IsAnsweredAfterDrain(const event& incoming) {
+  return std::holds_alternative<caller_opened>(incoming) ||
+         std::holds_alternative<statement_received>(incoming) ||
+         std::holds_alternative<fault_reported>(incoming);
+}
+
 /// Lets the groups that the step marked dirty react to it.
 void SettleDirtyGroups(core_state& core) {
   // Settling a group may mark further groups dirty.
@@ -148,7 +156,7 @@
 
 void reducer::Apply(const event& incoming, instant now, effect_list& effects) {
   core_state& core = state_->core;
-  if (core.drained) {
+  if (core.drained && !IsAnsweredAfterDrain(incoming)) {
     return;
   }
   core.effects = &effects;
--- a/unittests/core/reducer_test.cc
+++ b/unittests/core/reducer_test.cc
@@ -127,6 +127,32 @@
   EXPECT(world.violations == 0);
 }
 
+Test(reducer, sessions_that_open_after_the_drain_are_closed) {
+  harness world;
+  world.ApplyEvent(drain_requested{});
+  world.AdvanceTime(std::chrono::milliseconds(10));
+  REQUIRE(world.is_drained);
+  world.closed_callers.clear();
+  const caller_id late{7};
+  world.ApplyEvent(caller_opened{late, "ledger", "tenant"});
+  EXPECT(world.closed_callers == std::vector<caller_id>{late});
+  SECTION("a statement behind the startup is answered, too") {
+    world.closed_callers.clear();
+    world.ApplyEvent(statement_received{.caller = late,
+                                        .request = request_id{70},
+                                        .kind = statement_kind::kRead,
+                                        .settings = {}});
+    EXPECT(world.closed_callers == std::vector<caller_id>{late});
+  }
+  SECTION("nothing else goes on") {
+    world.peer_messages.clear();
+    world.probes = 0;
+    world.AdvanceTime(std::chrono::seconds(2));
+    EXPECT(world.peer_messages.empty() && world.probes == 0);
+  }
+  EXPECT(world.violations == 0);
+}
+
 Test(reducer, a_shutdown_lets_transactions_finish) {
   harness world;
   const request_id begin = world.SendStatement(statement_kind::kBegin);
