End a process with its sessions, not by a clock

What callers saw: connections that were accepted, or waited to be accepted, and had sent nothing were reset or closed as the process ended 200 ms after its last caller had gone; statements sent ahead of answers were dropped when their session was closed; the end of the refusal period reset connections whose last statement had arrived, which also destroys answers on their way.

Now the front ends with its sessions: it accepts the connections that wait, stops listening, and reports when the last session has ended; the loop runs until then. A session ends by reading what has arrived, answering it, and closing its own side first, so that nothing is reset. Statements that were sent ahead are refused one by one. Refusals by the front are logged with the caller's id.

The test of the refusal period's end now also requires that the caller sees the end of the connection; the socket itself stays until the caller has closed, for at most a second.

--- a/include/marjoramslip/core/effects.h
+++ b/include/marjoramslip/core/effects.h
@@ -36,6 +36,9 @@
   failure reason;
 };
 
+/// Returns the failure with which callers are closed during the shutdown.
+failure ShutdownFailure();
+
 /// Closes a caller's connection once all released answers have been sent.
 struct close_caller {
   caller_id caller;
@@ -214,7 +217,8 @@
   instant when;
 };
 
-/// All work after drain_requested is complete; the process may exit.
+/// All work after drain_requested is complete; the process may exit once its
+/// callers' sessions have ended. Callers are still answered.
 struct drained {};
 
 using effect =
--- a/include/marjoramslip/core/events.h
+++ b/include/marjoramslip/core/events.h
@@ -275,7 +275,11 @@
 };
 
 /// Starts a graceful shutdown: work in progress completes, new work is refused.
-struct drain_requested {};
+struct drain_requested {
+  /// True if what is in progress is to be cut off, each statement with its
+  /// verdict.
+  bool at_once = false;
+};
 
 /// Advances time. Sent at least once per `kTickInterval`, and when a `wake_at`
 /// effect is due.
--- a/include/marjoramslip/runtime/caller_acceptor.h
+++ b/include/marjoramslip/runtime/caller_acceptor.h
@@ -31,6 +31,8 @@
   caller_acceptor(const caller_acceptor&) = delete;
   caller_acceptor& operator=(const caller_acceptor&) = delete;
 
+  /// Accepts the connections that wait to be accepted, then stops.
+  void Finish();
   /// Accepts no more, and frees the address. To say so twice is no harm.
   void Stop();
 
--- a/include/marjoramslip/runtime/caller_front.h
+++ b/include/marjoramslip/runtime/caller_front.h
@@ -4,6 +4,7 @@
 #define MARJORAMSLIP_RUNTIME_CALLER_FRONT_H_
 
 #include <cstddef>
+#include <functional>
 #include <string_view>
 
 #include "marjoramslip/base/time.h"
@@ -22,10 +23,18 @@
   close_cause cause = close_cause::kInstance;
 };
 
-/// Is told of sessions that end early.
+/// A statement that the front refused by itself, as its session is closing.
+struct session_refusal {
+  request_id request;          ///< 0 if the core has not seen it.
+  std::string_view statement;  ///< What the caller calls it, if it does.
+  const failure& reason;
+};
+
+/// Is told of sessions that end early and of what is refused at their end.
 class session_observer {
  public:
   virtual ~session_observer() = default;
+  virtual void OnRefusal(const session_refusal& refusal) = 0;
   virtual void OnSessionCut(const session_cut& cut) = 0;
 };
 
@@ -49,8 +58,13 @@
   virtual void Fail(const fail_request& what) = 0;
   virtual void Close(const close_caller& what) = 0;
 
-  /// Stops accepting connections.
-  virtual void StopListening() = 0;
+  /// Ends the front after the core has been drained: accepts the connections
+  /// that wait to be accepted, then no more, and calls `on_ended` once there is
+  /// no session left. Statements are still passed to the core, which refuses
+  /// them.
+  virtual void EndWithSessions(std::function<void()> on_ended) = 0;
+  /// Closes the sessions that are left, each with `reason` as its last answer.
+  virtual void DismissSessions(const failure& reason) = 0;
 
   /// `observer` must outlive the front; null: nobody.
   virtual void SetObserver(session_observer* observer) = 0;
--- a/include/marjoramslip/runtime/stream_connection.h
+++ b/include/marjoramslip/runtime/stream_connection.h
@@ -59,6 +59,8 @@
   bool TakeBack(std::uint64_t position);
 
   void SetReading(bool reading);
+  /// Reads what has arrived by now.
+  void ReadAvailable();
   /// Closes once everything is sent; reads no more.
   void CloseAfterFlush();
   /// As CloseAfterFlush, for a last message that must arrive: what the caller
@@ -78,6 +80,8 @@
  private:
   void Register(bool reading, bool writing);
   bool SendSome();
+  /// Reads once; false if nothing is left to read now.
+  bool ReadSome();
   void EndOutput();
   void CloseFor(close_cause cause);
   void CloseIn(duration delay);
--- a/lib/core/draining.cc
+++ b/lib/core/draining.cc
@@ -95,17 +95,7 @@
   core.drained = true;
 }
 
-}  // namespace
-
-failure ShutdownFailure() {
-  return {verdict::kNotRun, sqlstate::kShutdown,
-          "this instance is shutting down"};
-}
-
-void OnDrainRequested(core_state& core) {
-  if (core.draining) {
-    return;
-  }
+void StartDrain(core_state& core) {
   core.draining = true;
   // Leaves a sixth of the limit to end what is still in progress in an orderly
   // way before the process is killed.
@@ -119,6 +109,23 @@
   }
 }
 
+}  // namespace
+
+failure ShutdownFailure() {
+  return {verdict::kNotRun, sqlstate::kShutdown,
+          "this instance is shutting down"};
+}
+
+void OnDrainRequested(core_state& core, const drain_requested& request) {
+  if (!core.draining) {
+    StartDrain(core);
+  }
+  if (request.at_once) {
+    core.transactions_deadline = core.now;
+    core.drain_deadline = core.now;
+  }
+}
+
 void ContinueDrain(core_state& core) {
   if (!core.draining || core.drained) {
     return;
--- a/lib/core/draining.h
+++ b/lib/core/draining.h
@@ -8,11 +8,8 @@
 
 namespace marjoramslip {
 
-/// Returns the failure with which callers are closed during the shutdown.
-failure ShutdownFailure();
-
-/// Starts the shutdown. Has no effect if it has been started before.
-void OnDrainRequested(core_state& core);
+/// Starts the shutdown, unless it has been started before.
+void OnDrainRequested(core_state& core, const drain_requested& request);
 
 /// Closes callers that have finished. Completes the shutdown when all callers
 /// are closed or its time limit is reached. Must be called at the end of each
--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "line_session.h"
 #include "marjoramslip/runtime/caller_acceptor.h"
@@ -43,7 +44,8 @@
     }
   }
   void Close(const close_caller& command) override;
-  void StopListening() override { acceptor_.Stop(); }
+  void EndWithSessions(std::function<void()> on_ended) override;
+  void DismissSessions(const failure& reason) override;
   void SetObserver(shell::session_observer* observer) override {
     observer_ = observer;
   }
@@ -87,12 +89,19 @@
   shell::event_loop& Loop() override { return loop_; }
   const line_codec& Codec() const override { return codec_; }
   const instance_settings& Settings() const override { return settings_; }
+  void OnRefusal(const shell::session_refusal& refusal) override {
+    if (observer_ != nullptr) {
+      observer_->OnRefusal(refusal);
+    }
+  }
   request_id BeginRequest(line_session& session) override;
   void EndRequest(request_id request) override { requests_.erase(request); }
   void ScheduleRefusalEnd(line_session& session) override;
   void OnSessionEnded(line_session& session) override;
 
   void Accept(const Poco::Net::StreamSocket& socket);
+  /// Reports the end of the front if its last session has ended.
+  void ReportEnd();
   line_session* Find(request_id request) const;
   template <typename callback>
   void RunAfter(duration delay, callback task);
@@ -103,6 +112,7 @@
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
   shell::session_observer* observer_ = nullptr;
+  std::function<void()> on_ended_;
   std::unordered_map<caller_id, std::unique_ptr<line_session>> sessions_;
   std::unordered_map<request_id, line_session*> requests_;
   /// Ended sessions that may still be on the call stack; destroyed in a later
@@ -166,6 +176,7 @@
   }
   ended_sessions_.insert(std::move(node));
   RunAfter(duration{0}, [](front& self) { self.ended_sessions_.clear(); });
+  ReportEnd();
 }
 
 shell::session_counts front::Sessions() const {
@@ -176,6 +187,37 @@
   return counts;
 }
 
+void front::EndWithSessions(std::function<void()> on_ended) {
+  on_ended_ = std::move(on_ended);
+  acceptor_.Finish();
+  ReportEnd();
+}
+
+void front::ReportEnd() {
+  if (on_ended_ && sessions_.empty()) {
+    RunAfter(duration{0}, [](front& self) {
+      if (const auto on_ended = std::exchange(self.on_ended_, nullptr)) {
+        on_ended();
+      }
+    });
+  }
+}
+
+void front::DismissSessions(const failure& reason) {
+  // A session that ends leaves the map.
+  std::vector<caller_id> callers;
+  callers.reserve(sessions_.size());
+  for (const auto& session : sessions_) {
+    callers.push_back(session.first);
+  }
+  for (const caller_id caller : callers) {
+    const auto found = sessions_.find(caller);
+    if (found != sessions_.end()) {
+      found->second->Dismiss(reason);
+    }
+  }
+}
+
 void front::CloseSessions() {
   while (!sessions_.empty()) {
     sessions_.begin()->second->Abort();
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -68,6 +68,30 @@
   }
 }
 
+void line_session::Dismiss(const failure& reason) {
+  if (connection_.Closing()) {
+    return;
+  }
+  if (started_) {
+    Close(reason);
+    EndRefusalPeriod();
+    return;
+  }
+  owner_.Codec().AppendError(RefusalOf(reason, false), reason.message,
+                             connection_.Output());
+  connection_.LingerAfterFlush();
+}
+
+void line_session::EndRefusalPeriod() {
+  if (connection_.Closing()) {
+    return;
+  }
+  connection_.ReadAvailable();
+  if (!ended_) {
+    connection_.LingerAfterFlush();
+  }
+}
+
 void line_session::OnBytes(std::span<const char> bytes) {
   input_.Add(bytes);
   ProcessInput();
@@ -168,13 +192,6 @@
 
 void line_session::HandleStatement(const statement_line& statement) {
   id_ = statement.id;
-  if (closing_) {
-    const bool open = status_ != transaction_status::kIdle;
-    status_ = open ? transaction_status::kFailed : status_;
-    Refuse(open ? caller_refusal::kTransactionLost : caller_refusal::kBusy,
-           closing_reason_);
-    return;
-  }
   if (transaction_lost_ && EndsTransaction(statement.verb)) {
     transaction_lost_ = false;
     status_ = transaction_status::kIdle;
@@ -187,6 +204,10 @@
     }
     return;
   }
+  if (closing_) {
+    RefuseWhileClosing();
+    return;
+  }
   const bool failed = status_ == transaction_status::kFailed;
   if (failed && !EndsTransaction(statement.verb)) {
     Refuse(caller_refusal::kBadMessage,
@@ -198,6 +219,15 @@
   }
 }
 
+void line_session::RefuseWhileClosing() {
+  owner_.OnRefusal(
+      {.request = {}, .statement = id_, .reason = closing_reason_});
+  const bool open = status_ != transaction_status::kIdle;
+  status_ = open ? transaction_status::kFailed : status_;
+  Refuse(open ? caller_refusal::kTransactionLost : caller_refusal::kBusy,
+         closing_reason_.message);
+}
+
 bool line_session::AnswerLocally(const statement_line& statement) {
   switch (statement.verb) {
     case statement_verb::kSet:
@@ -323,7 +353,11 @@
 }
 
 void line_session::Close(const failure& reason) {
+  if (closing_ || connection_.Closing()) {
+    return;
+  }
   if (request_ != request_id{}) {
+    owner_.OnRefusal({.request = request_, .statement = id_, .reason = reason});
     owner_.Codec().AppendError(
         RefusalOf(reason, status_ != transaction_status::kIdle), reason.message,
         connection_.Output());
@@ -343,9 +377,12 @@
   // A statement may already be in transit. It is refused, so that the caller
   // knows that it did not run.
   closing_ = true;
-  closing_reason_ = reason.message;
-  connection_.Flush();
+  closing_reason_ = reason;
+  transaction_lost_ = status_ != transaction_status::kIdle;
   owner_.ScheduleRefusalEnd(*this);
+  connection_.Flush();
+  // Statements that the caller sent behind the one in progress.
+  ProcessInput();
 }
 
 }  // namespace marjoramslip::lines
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -31,6 +31,8 @@
   virtual shell::event_loop& Loop() = 0;
   virtual const line_codec& Codec() const = 0;
   virtual const instance_settings& Settings() const = 0;
+  /// Reports a statement that the session refused because it is closing.
+  virtual void OnRefusal(const shell::session_refusal& refusal) = 0;
   /// Registers a statement of the session and returns its new request id.
   virtual request_id BeginRequest(line_session& session) = 0;
   virtual void EndRequest(request_id request) = 0;
@@ -61,9 +63,11 @@
   void EndStartup();
   /// Closes the connection at once.
   void Abort() { connection_.Close(); }
+  /// Closes the connection with `reason` as its last answer.
+  void Dismiss(const failure& reason);
   /// Ends the period in which statements in transit are refused, and closes the
   /// connection.
-  void EndRefusalPeriod() { connection_.CloseAfterFlush(); }
+  void EndRefusalPeriod();
 
   // Commands of the core.
   void Release();
@@ -90,6 +94,7 @@
   /// Answers statements that need no endpoint; returns false for all others.
   bool AnswerLocally(const statement_line& statement);
   void PostStatement(const statement_line& statement);
+  void RefuseWhileClosing();
   void Succeed();
   void Refuse(caller_refusal reason, std::string_view text);
   void Finish();
@@ -107,8 +112,8 @@
   bool ended_ = false;
   /// The core has closed the caller; further statements are refused.
   bool closing_ = false;
-  /// The message of these refusals.
-  std::string closing_reason_;
+  /// The reason of these refusals.
+  failure closing_reason_;
   bool processing_ = false;
   /// The transaction is lost; the caller has yet to end it.
   bool transaction_lost_ = false;
--- a/lib/postgres/caller_session.h
+++ b/lib/postgres/caller_session.h
@@ -37,6 +37,8 @@
   /// Numbers a statement and remembers whose it is.
   virtual request_id Begin(caller_session& session) = 0;
   virtual void End(request_id request) = 0;
+  /// Reports a statement that is refused because the session is closed.
+  virtual void OnRefusal(const session_refusal& refusal) = 0;
   /// There is room for more of the answer.
   virtual void Ready(request_id request) = 0;
   /// The session is over; it is destroyed later.
@@ -66,6 +68,8 @@
   void Release(const release_answer& what);
   void Fail(const fail_request& what);
   void Close(const failure& reason);
+  /// Closes the connection with `reason` as its last message.
+  void Dismiss(const failure& reason) { Close(reason); }
   /// Closes the connection at once.
   void Abort() { connection_.Close(); }
   /// Gives up a caller that has not finished its startup.
--- a/lib/postgres/caller_statement.cc
+++ b/lib/postgres/caller_statement.cc
@@ -252,6 +252,9 @@
   if (connection_.Closing()) {
     return;
   }
+  if (Running()) {
+    host_.OnRefusal({.request = request_, .statement = {}, .reason = reason});
+  }
   answer_.Discard();
   EndRequest();
   wire::error_fields fields = Error(reason.sqlstate, reason.message);
--- a/lib/postgres/postgres_front.cc
+++ b/lib/postgres/postgres_front.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "caller_cancel.h"
 #include "caller_session.h"
@@ -30,7 +31,8 @@
   void SetFlowListener(flow_listener* listener) override {
     listener_ = listener;
   }
-  void StopListening() override { acceptor_.Stop(); }
+  void EndWithSessions(std::function<void()> on_ended) override;
+  void DismissSessions(const failure& reason) override;
   void SetObserver(session_observer* observer) override {
     observer_ = observer;
   }
@@ -60,10 +62,17 @@
   void CancelBy(cancel_key key) override;
   request_id Begin(caller_session& session) override;
   void End(request_id request) override { requests_.erase(request); }
+  void OnRefusal(const session_refusal& refusal) override {
+    if (observer_ != nullptr) {
+      observer_->OnRefusal(refusal);
+    }
+  }
   void Ready(request_id request) override;
   void Gone(caller_session& session) override;
 
   void Take(const Poco::Net::StreamSocket& socket);
+  /// Reports the end of the front if its last session has ended.
+  void ReportEnd();
   caller_session* Find(request_id request) const;
   caller_session* Find(caller_id caller) const;
   /// Finds those that have just gone too: the core still reports on them.
@@ -78,6 +87,7 @@
   cancel_registry cancels_;
   flow_listener* listener_ = nullptr;
   session_observer* observer_ = nullptr;
+  std::function<void()> on_ended_;
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
   std::size_t admitted_ = 0;
@@ -158,6 +168,37 @@
   return counts;
 }
 
+void front::EndWithSessions(std::function<void()> on_ended) {
+  on_ended_ = std::move(on_ended);
+  acceptor_.Finish();
+  ReportEnd();
+}
+
+void front::ReportEnd() {
+  if (on_ended_ && sessions_.empty()) {
+    Later(duration{0}, [](front& self) {
+      if (const auto on_ended = std::exchange(self.on_ended_, nullptr)) {
+        on_ended();
+      }
+    });
+  }
+}
+
+void front::DismissSessions(const failure& reason) {
+  // A session that ends leaves the map.
+  std::vector<caller_id> callers;
+  callers.reserve(sessions_.size());
+  for (const auto& session : sessions_) {
+    callers.push_back(session.first);
+  }
+  for (const caller_id caller : callers) {
+    const auto found = sessions_.find(caller);
+    if (found != sessions_.end()) {
+      found->second->Dismiss(reason);
+    }
+  }
+}
+
 void front::CloseSessions() {
   while (!sessions_.empty()) {
     sessions_.begin()->second->Abort();
@@ -179,6 +220,7 @@
   }
   over_.insert(std::move(node));
   Later(duration{0}, [](front& self) { self.over_.clear(); });
+  ReportEnd();
 }
 
 caller_session* front::Find(request_id request) const {
--- a/lib/runtime/caller_acceptor.cc
+++ b/lib/runtime/caller_acceptor.cc
@@ -47,6 +47,12 @@
 
 caller_acceptor::~caller_acceptor() { Stop(); }
 
+void caller_acceptor::Finish() {
+  while (listening_ && AcceptOne()) {
+  }
+  Stop();
+}
+
 void caller_acceptor::Stop() {
   if (!listening_) {
     return;
--- a/lib/runtime/instance.cc
+++ b/lib/runtime/instance.cc
@@ -2,10 +2,7 @@
 
 #include "marjoramslip/runtime/instance.h"
 
-#include <unistd.h>
-
 #include <cstdint>
-#include <cstdlib>
 #include <memory>
 #include <random>
 #include <string>
@@ -18,6 +15,7 @@
 #include "metrics.h"
 #include "runtime.h"
 #include "settings_watch.h"
+#include "shutdown.h"
 #include "signal_watch.h"
 #include "status_server.h"
 
@@ -25,9 +23,6 @@
 
 namespace {
 
-/// Time for the last answers to leave after all work is done.
-constexpr duration kFlushTime = std::chrono::milliseconds(200);
-
 std::uint64_t RandomSeed() {
   std::random_device source;
   std::uniform_int_distribution<std::uint64_t> any;
@@ -63,30 +58,6 @@
       });
 }
 
-/// Drains on the first signal, after notice to balancers, and gives up on the
-/// second.
-void OnSignal(poll_loop& loop, runtime& running, log_writer& log,
-              duration notice, int count) {
-  if (count > 1) {
-    _exit(EXIT_FAILURE);
-  }
-  log.Write(log_level::kInfo, "instance.draining", "asked to end");
-  running.SetLeaving();
-  if (notice == duration::zero()) {
-    loop.Post(drain_requested{});
-    return;
-  }
-  loop.After(notice, [&loop] { loop.Post(drain_requested{}); });
-}
-
-std::string Describe(const session_counts& sessions) {
-  return "starting " + std::to_string(sessions.starting) + ", open " +
-         std::to_string(sessions.open) + ", closing " +
-         std::to_string(sessions.closing) + "; " +
-         std::to_string(sessions.in_progress) + " with a statement, " +
-         std::to_string(sessions.unsent_bytes) + " bytes unsent";
-}
-
 }  // namespace
 
 result<void> RunInstance(const instance_settings& settings, edge_maker& maker) {
@@ -101,6 +72,7 @@
   BOOST_LEAF_AUTO(peers, MakePeers(settings, loop));
   BOOST_LEAF_AUTO(edges, maker.Make(loop, peers->Address()));
 
+  shutdown_sequence* shutdown = nullptr;
   runtime running({.loop = loop,
                    .core = core,
                    .front = edges->Front(),
@@ -109,17 +81,11 @@
                    .peers = *peers,
                    .log = log,
                    .measured = measured},
-                  [&] {
-                    log.Write(log_level::kInfo, "drain.completed",
-                              Describe(edges->Front().Sessions()));
-                    edges->Front().StopListening();
-                    loop.After(kFlushTime, [&] { loop.Stop(); });
-                  });
+                  [&shutdown] { shutdown->OnDrained(); });
+  shutdown_sequence sequence(loop, log, running, edges->Front(), settings);
+  shutdown = &sequence;
   const signal_watch signals(
-      loop,
-      [&](int count) {
-        OnSignal(loop, running, log, settings.drain_notice, count);
-      },
+      loop, [&sequence](int count) { sequence.OnSignal(count); },
       [&] { settings_file.Reload("asked to reload"); });
   loop.SetConsumer(&running);
   edges->Front().SetObserver(&running);
@@ -136,11 +102,15 @@
   loop.Run();
   log.Write(log_level::kInfo, "sessions.ended",
             Describe(edges->Front().Sessions()));
+  edges->Front().CloseSessions();
+  edges->Front().SetObserver(nullptr);
   readiness.reset();
   server.reset();
   edges->Platform().Leave();
-  edges->Front().CloseSessions();
-  edges->Front().SetObserver(nullptr);
+  if (sequence.Forced()) {
+    log.Write(log_level::kWarning, "instance.ended", "by a second signal");
+    return Fail(error_kind::kUnknown, "ended by a second signal");
+  }
   log.Write(log_level::kInfo, "instance.ended", "all work is done");
   return {};
 }
--- a/lib/runtime/log_writer.cc
+++ b/lib/runtime/log_writer.cc
@@ -92,7 +92,7 @@
   if (line.term != 0) {
     out << " term=" << line.term;
   }
-  if (line.request != request_id{}) {
+  if (line.request != request_id{} || !request.empty()) {
     out << " request=" << RequestName(line, request);
   }
   if (!line.text.empty()) {
@@ -118,7 +118,7 @@
   if (line.term != 0) {
     object.set("term", line.term);
   }
-  if (line.request != request_id{}) {
+  if (line.request != request_id{} || !request.empty()) {
     object.set("request", RequestName(line, request));
   }
   if (!line.text.empty()) {
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -64,6 +64,20 @@
   }
 }
 
+void runtime::OnRefusal(const session_refusal& refusal) {
+  parts_.measured.Counted({counter::kRefusals, 1, {}}, {});
+  if (!TakeRequestLine()) {
+    return;
+  }
+  log_line line;
+  line.level = log_level::kWarning;
+  line.event = "request.refused";
+  line.text = std::string(VerdictName(refusal.reason.effect)) + " " +
+              refusal.reason.sqlstate + ": " + refusal.reason.message;
+  line.request = refusal.request;
+  parts_.log.Write(line, names_, refusal.statement);
+}
+
 void runtime::OnSessionCut(const session_cut& cut) {
   parts_.measured.SessionCut(cut);
   if (!TakeRequestLine()) {
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -46,6 +46,7 @@
 
   void Consume(const event& what) override;
   void OnTurn(duration busy) override;
+  void OnRefusal(const session_refusal& refusal) override;
   void OnSessionCut(const session_cut& cut) override;
 
   std::optional<std::string> Metrics() override;
--- a/lib/runtime/stream_connection.cc
+++ b/lib/runtime/stream_connection.cc
@@ -181,9 +181,16 @@
   user_.OnGone();
 }
 
-void stream_connection::OnReadable() {
+void stream_connection::OnReadable() { ReadSome(); }
+
+void stream_connection::ReadAvailable() {
+  while (ReadSome()) {
+  }
+}
+
+bool stream_connection::ReadSome() {
   if (!open_ || !reading_) {
-    return;
+    return false;
   }
   std::array<char, kReadBytes> bytes;
   int count = 0;
@@ -191,19 +198,19 @@
     count = socket_.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
   } catch (const Poco::Exception&) {
     CloseFor(close_cause::kFailure);
-    return;
+    return false;
   }
   if (count < 0) {
-    return;
+    return false;
   }
   if (count == 0) {
     CloseFor(close_cause::kCaller);
-    return;
+    return false;
   }
-  if (closing_) {
-    return;
+  if (!closing_) {
+    user_.OnBytes(std::span(bytes).first(static_cast<std::size_t>(count)));
   }
-  user_.OnBytes(std::span(bytes).first(static_cast<std::size_t>(count)));
+  return true;
 }
 
 void stream_connection::OnWritable() {
--- a/unittests/platform/line_front_test.cc
+++ b/unittests/platform/line_front_test.cc
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "line_words.h"
 #include "marjoramslip/core/sqlstates.h"
@@ -53,6 +54,21 @@
   std::string greeting;
 };
 
+/// Keeps what is reported.
+struct recording_observer final : shell::session_observer {
+  void OnRefusal(const shell::session_refusal& /*refusal*/) override {}
+  void OnSessionCut(const shell::session_cut& cut) override {
+    cuts.emplace_back(cut.statement);
+    cause = cut.cause;
+  }
+  std::vector<std::string> cuts;
+  shell::close_cause cause = shell::close_cause::kInstance;
+};
+
+/// Longer than the period in which closed sessions refuse statements.
+constexpr std::chrono::milliseconds kAfterRefusals(150);
+const failure kGoing{verdict::kNotRun, sqlstate::kShutdown, "going"};
+
 }  // namespace
 
 Test(line_front, a_session) {
@@ -210,9 +226,119 @@
   }
   SECTION("the connection closes after the refusal period") {
     const std::size_t before = fixture.loop.Watched();
-    fixture.loop.Advance(std::chrono::milliseconds(150));
+    fixture.loop.Advance(kAfterRefusals);
+    EXPECT(caller.Receive().empty() && caller.Closed());
+    caller.Shut();
+    fixture.loop.Turn();
     EXPECT(fixture.loop.Watched() < before);
   }
 }
 
+Test(line_front, statements_sent_ahead_are_answered_when_the_session_closes) {
+  line_front_fixture fixture;
+  bench_caller caller(fixture.loop);
+  fixture.OpenSession(caller);
+  caller.Send("QUERY 1 READ a\r\nQUERY 2 WRITE a b\r\nQUERY 3 READ a\r\n");
+  caller.Receive();
+  const statement_received read = fixture.TakeStatement();
+  fixture.front->Close({read.caller, kGoing});
+  const std::string refusal = "ERR BUSY going\r\nREADY I -\r\n";
+  EXPECT(caller.Receive() == refusal + refusal + refusal);
+  EXPECT(!fixture.loop.Take<statement_received>());
+}
+
+Test(line_front, statements_that_arrive_last_are_answered_before_the_end) {
+  line_front_fixture fixture;
+  bench_caller caller(fixture.loop);
+  fixture.front->Close({fixture.OpenSession(caller), kGoing});
+  caller.Send("QUERY 1 READ a\r\n");
+  // Arrived, and not read yet, when the refusal period ends.
+  fixture.loop.Advance(kAfterRefusals);
+  EXPECT(caller.Receive() == "ERR BUSY going\r\nREADY I -\r\n");
+  EXPECT(caller.Closed());
+}
+
+Test(line_front, a_closed_session_with_a_transaction) {
+  line_front_fixture fixture;
+  bench_caller caller(fixture.loop);
+  const caller_id id = fixture.OpenSession(caller);
+  caller.Send("QUERY 1 BEGIN\r\n");
+  caller.Receive();
+  const statement_received begin = fixture.TakeStatement();
+  fixture.front->OnDone(begin.request, "-", transaction_status::kOpen);
+  fixture.front->Release({begin.caller, begin.request, {}});
+  caller.Receive();
+  fixture.front->Close({id, kGoing});
+  SECTION("its statements fail") {
+    caller.Send("QUERY 2 READ a\r\n");
+    EXPECT(caller.Receive() == "ERR ABORTED going\r\nREADY E -\r\n");
+  }
+  SECTION("its end is acknowledged") {
+    caller.Send("QUERY 3 ROLLBACK\r\n");
+    EXPECT(caller.Receive() == "DONE -\r\nREADY I -\r\n");
+  }
+}
+
+Test(line_front, ends_with_its_sessions) {
+  line_front_fixture fixture;
+  bench_caller open(fixture.loop);
+  const caller_id id = fixture.OpenSession(open);
+  bench_caller silent(fixture.loop);
+  fixture.loop.Turn();
+  bench_caller unaccepted(fixture.loop);
+  bool ended = false;
+  fixture.front->Close({id, kGoing});
+  fixture.front->EndWithSessions([&ended] { ended = true; });
+  fixture.loop.Advance(kAfterRefusals);
+  SECTION("not while a session is open") {
+    open.Receive();
+    EXPECT(open.Closed() && !ended);
+    open.Shut();
+  }
+  SECTION("a connection that waited to be accepted gets its answers") {
+    unaccepted.Send("STARTUP db me\r\nQUERY 1 READ a\r\n");
+    EXPECT(unaccepted.Receive() == "READY I -\r\n");
+    const statement_received read = fixture.TakeStatement();
+    fixture.front->Close({read.caller, kGoing});
+    EXPECT(unaccepted.Receive() == "ERR BUSY going\r\nREADY I -\r\n");
+    fixture.loop.Advance(kAfterRefusals);
+    unaccepted.Receive();
+    EXPECT(unaccepted.Closed());
+    unaccepted.Shut();
+  }
+  SECTION("a connection without a startup is dismissed with an answer") {
+    silent.Receive();
+    EXPECT(!silent.Closed() && !ended);
+    fixture.front->DismissSessions(kGoing);
+    silent.Send("STARTUP db me\r\n");
+    EXPECT(silent.Receive() == "ERR BUSY going\r\n");
+    EXPECT(silent.Closed());
+    silent.Shut();
+  }
+  for (int turn = 0; turn < 5; ++turn) {
+    fixture.loop.Turn();
+  }
+  fixture.loop.Advance(duration{0});
+  EXPECT(ended);
+}
+
+Test(line_front, reports_what_the_end_of_a_session_leaves_undone) {
+  line_front_fixture fixture;
+  recording_observer observer;
+  fixture.front->SetObserver(&observer);
+  bench_caller caller(fixture.loop);
+  fixture.OpenSession(caller);
+  caller.Send("QUERY 77 READ a\r\n");
+  caller.Receive();
+  SECTION("a caller that leaves") {
+    caller.Shut();
+    fixture.loop.Turn();
+    fixture.loop.Turn();
+  }
+  REQUIRE(observer.cuts.size() == 1);
+  EXPECT(observer.cuts[0] == "77");
+  EXPECT(observer.cause == shell::close_cause::kCaller);
+  fixture.front->SetObserver(nullptr);
+}
+
 }  // namespace marjoramslip::lines
