--- a/test/operations.py
+++ b/test/operations.py
@@ -22,6 +22,7 @@
     GROUP, SERVICE, Process, fetch, wait_until)
 from end_to_end import (  # noqa: E402
     LOAD_LIMIT_S, expect, longest_gap_ms, run, start_load)
+from raw_caller import RawCaller, query, startup  # noqa: E402
 from scenarios import run_chosen  # noqa: E402
 from simple_client import Connection, QueryError  # noqa: E402
 
@@ -32,6 +33,9 @@
 LEAVING_LIMIT_S = 5.0
 PLANNED_GAP_LIMIT_MS = 2500
 ROUNDS = 5
+# Callers that connect before SIGTERM, and the pause before each one speaks.
+LATE_CALLERS = 20
+LATE_STEP_S = 0.05
 # Where nothing listens, for services that are declared only.
 ABSENT_PORTS = {"left": 1, "right": 2, "fresh": 3, "changing": 4}
 
@@ -334,6 +338,33 @@
                [other.name], 2)
 
 
+def late_sessions(cluster):
+    """Callers that connected before SIGTERM and speak around the end of the
+    drain are told that nothing ran."""
+    instance = cluster.instances[0]
+    early = [RawCaller(instance.address) for _ in range(LATE_CALLERS)]
+    busy = Connection(instance.address, SERVICE)
+    busy.query("BEGIN")
+    busy.query("SELECT 1")
+    terminate(instance)
+    ends = []
+    for number, caller in enumerate(early):
+        if number == LATE_CALLERS // 2:
+            busy.query("COMMIT")
+        time.sleep(LATE_STEP_S)
+        caller.send(startup(SERVICE) + query("SELECT 1"))
+        ends.append(caller.answer())
+        if ends[-1].status == "I":
+            ends[-1] = caller.answer()
+        caller.close()
+    told = [(end.sqlstate, end.verdict) for end in ends]
+    expect(told == [("57P01", "not_run")] * LATE_CALLERS, f"told {told}")
+    expect(exit_code(instance) == 0, "not a clean end")
+    cut = [line for line in instance.log.read_text().splitlines()
+           if "session.cut" in line and "by this instance" in line]
+    expect(not cut, f"sessions were cut: {cut[:3]}")
+
+
 def second_signal(cluster):
     """A second signal ends the instance at once."""
     instance = cluster.instances[0]
@@ -352,7 +383,7 @@
 SCENARIOS = [racing_operators, lost_answer, service_hangs, service_unreachable,
              never_reverting, start_in_outage, notes_in_force,
              service_withdrawn, replica_leaves, primary_leaves, promotion,
-             shutdown, second_signal]
+             shutdown, late_sessions, second_signal]
 
 
 def main():
--- a/test/platform_cluster.py
+++ b/test/platform_cluster.py
@@ -1,6 +1,7 @@
 """Starts the platform's stand-in and instances of the program that runs on
 the users' platform, on the loopback."""
 
+import copy
 import json
 import pathlib
 import re
@@ -110,9 +111,19 @@
             "platform": {"addr": store or platform.address},
             "cloud": {"addr": platform.address},
             "bounds": {"graceS": LEAVING_S}}))
-        super().__init__(
-            name, [build / "platform/marjoramslip-platform"], folder,
-            {"MARJORAMSLIP_BOOT": str(self.settings_file)})
+        self._executable = build / "platform/marjoramslip-platform"
+        self._folder = folder
+        self._launch(name)
+
+    def _launch(self, name):
+        super().__init__(name, [self._executable], self._folder,
+                         {"MARJORAMSLIP_BOOT": str(self.settings_file)})
+
+    def started_again(self):
+        """A new process under the same settings; its log goes on."""
+        again = copy.copy(self)
+        again._launch(self.name)
+        return again
 
     def ready(self):
         if not self.running():
@@ -184,6 +195,10 @@
         self.instances.append(instance)
         return instance
 
+    def restart_instance(self, number):
+        """Starts an instance that has ended again, under its settings."""
+        self.instances[number] = self.instances[number].started_again()
+
     def stop(self):
         """Ends every process that was started here; all are waited for."""
         everything = self.instances + ([self.platform] if self.platform else [])
--- a/test/raw_line_caller.py
+++ b/test/raw_line_caller.py
@@ -24,9 +24,13 @@
 
     def send(self, *lines):
         """Sends the lines in one piece; False if the connection has ended."""
+        return self.send_bytes(b"".join(
+            line.encode() + b"\r\n" for line in lines))
+
+    def send_bytes(self, data):
+        """Sends bytes as they are; False if the connection has ended."""
         try:
-            self._socket.sendall(b"".join(
-                line.encode() + b"\r\n" for line in lines))
+            self._socket.sendall(data)
             return True
         except OSError:
             self.end = self.end or "reset"
