Follow a later term although the recorded primary is not declared

The recorded primary returned under another id, as a replica of a term whose promotion took effect late.

Cause: a later term counted only while the recorded primary was declared, so the wait of 3 s for its declaration ran first, and the 500 ms for the record of the later term only after it.

A later term now counts whatever is declared, and an undeclared primary is replaced once that term's record is overdue. Sealing earlier is safe: it moves nothing by itself, and the primary of the later term is found before any candidate is chosen.

--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -478,7 +478,10 @@
 /// promotion took effect late or was made from elsewhere. The record is read
 /// again, and the primary is suspected if no newer record arrives in time.
 void group_terms::OnNewerTermSeen(term_number term, instant now) {
-  if (!record_known_ || !Open() || term <= Term()) {
+  // The recorded primary may have returned under another id.
+  const bool open = record_known_ && record_.revision != 0 &&
+                    record_.record.phase == group_phase::kOpen;
+  if (!open || term <= Term()) {
     return;
   }
   record_read_requested_ = true;
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -187,7 +187,8 @@
   // primary that started again has returned under another id.
   const bool has_returned =
       !service_.term_bound && PresentPrimary() != endpoint_id{};
-  if ((has_returned || now - *undeclared_since_ >= kUndeclaredPrimaryTimeout) &&
+  if ((has_returned || IsLaterTermOverdue(now) ||
+       now - *undeclared_since_ >= kUndeclaredPrimaryTimeout) &&
       step_ == step::kIdle && MayDrive(now)) {
     StartSealing(reason::kUnreachable, endpoint_id{}, now, effects);
   }
--- a/unittests/core/late_promotion_test.cc
+++ b/unittests/core/late_promotion_test.cc
@@ -130,6 +130,28 @@
   EXPECT(world.violations == 0);
 }
 
+// Guards against a group that waits for the declaration of its recorded primary
+// while another database already leads (random run 50089).
+Test(late_promotion, is_followed_although_the_old_primary_is_not_declared) {
+  promoted_world world;
+  world.HoldDuty(seconds(60));
+  catalogue others = world.MakeCatalogue(2);
+  std::erase_if(
+      others.services.at("ledger").groups[0].endpoints,
+      [](const endpoint_spec& endpoint) { return endpoint.name == "a"; });
+  world.ApplyEvent(catalogue_seen{others});
+  world.Promote("b", 2);
+  world.State("c") = {2, 2, 10, endpoint_role::kReplica};
+  // A replica, which says no more than that there is a later term.
+  world.ApplyEvent(
+      probe_answered{harness::Id("c"), world.Now(), world.State("c")});
+  world.AdvanceTime(seconds(1));
+  REQUIRE(!world.written_records.empty());
+  EXPECT(world.written_records.back().phase == group_phase::kOpen);
+  EXPECT(world.written_records.back().primary == harness::Id("b"));
+  EXPECT(world.violations == 0);
+}
+
 // Guards against acknowledgements while the old primary still acts.
 Test(late_promotion, that_was_seen_ends_acknowledgements) {
   promoted_world world;
