Refuse the next statement of a closed session before it comes

Cause: the protocol has no word for 'about to close', and a session was closed 100 ms after the core had closed its caller, whatever its caller was doing.

A closed session now gets the refusal of its next statement at once. A caller that reads it while idle closes the session itself, as PROTOCOL.md says; one whose statement is on its way, or that reads only after its next statement, gets READY behind it and has a whole answer: BUSY, or ABORTED in a transaction. So the session can stay for 2 s (was 100 ms), as only callers that do not read use them.

--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -13,9 +13,10 @@
 namespace marjoramslip::lines {
 namespace {
 
-/// After the core closes a session, statements already in transit are refused
-/// for this long. It is many times the network delay from a caller (3 ms).
-constexpr duration kRefusalPeriod = std::chrono::milliseconds(100);
+/// After the core closes a session, its caller has this long to end it. Callers
+/// that read what they are sent do so after the network delay (3 ms); others
+/// read it after their next statement.
+constexpr duration kRefusalPeriod = std::chrono::seconds(2);
 
 class front final : public line_front, private session_owner {
  public:
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -95,6 +95,9 @@
 void line_session::OnBytes(std::span<const char> bytes) {
   input_.Add(bytes);
   ProcessInput();
+  if (closing_) {
+    RefuseAhead();
+  }
 }
 
 void line_session::OnGone() {
@@ -196,6 +199,10 @@
     transaction_lost_ = false;
     status_ = transaction_status::kIdle;
     owner_.Loop().Post(loss_acknowledged{caller_});
+    if (std::exchange(refused_ahead_, false)) {
+      Finish();
+      return;
+    }
     if (statement.verb == statement_verb::kRollback) {
       Succeed();
     } else {
@@ -222,10 +229,31 @@
 void line_session::RefuseWhileClosing() {
   owner_.OnRefusal(
       {.request = {}, .statement = id_, .reason = closing_reason_});
-  const bool open = status_ != transaction_status::kIdle;
-  status_ = open ? transaction_status::kFailed : status_;
-  Refuse(open ? caller_refusal::kTransactionLost : caller_refusal::kBusy,
-         closing_reason_.message);
+  const caller_refusal refusal = ClosingRefusal();
+  if (status_ != transaction_status::kIdle) {
+    status_ = transaction_status::kFailed;
+  }
+  if (std::exchange(refused_ahead_, false)) {
+    Finish();
+    return;
+  }
+  Refuse(refusal, closing_reason_.message);
+}
+
+caller_refusal line_session::ClosingRefusal() const {
+  return status_ == transaction_status::kIdle
+             ? caller_refusal::kBusy
+             : caller_refusal::kTransactionLost;
+}
+
+void line_session::RefuseAhead() {
+  if (ended_ || refused_ahead_ || connection_.Closing()) {
+    return;
+  }
+  refused_ahead_ = true;
+  owner_.Codec().AppendError(ClosingRefusal(), closing_reason_.message,
+                             connection_.Output());
+  connection_.Flush();
 }
 
 bool line_session::AnswerLocally(const statement_line& statement) {
@@ -383,6 +411,7 @@
   connection_.Flush();
   // Statements that the caller sent behind the one in progress.
   ProcessInput();
+  RefuseAhead();
 }
 
 }  // namespace marjoramslip::lines
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -95,6 +95,11 @@
   bool AnswerLocally(const statement_line& statement);
   void PostStatement(const statement_line& statement);
   void RefuseWhileClosing();
+  /// Sends the refusal of the next statement before it comes, unless that has
+  /// been done. A caller that reads it while idle closes the session; one whose
+  /// statement is on its way has its answer, whatever ends first.
+  void RefuseAhead();
+  caller_refusal ClosingRefusal() const;
   void Succeed();
   void Refuse(caller_refusal reason, std::string_view text);
   void Finish();
@@ -112,6 +117,8 @@
   bool ended_ = false;
   /// The core has closed the caller; further statements are refused.
   bool closing_ = false;
+  /// The refusal of the next statement has been sent.
+  bool refused_ahead_ = false;
   /// The reason of these refusals.
   failure closing_reason_;
   bool processing_ = false;
