Close a session behind an answer where its caller never pauses

What callers saw: a caller that keeps using a session without reading ahead still met its end in the middle: after the refusal period the connection was closed whatever was on its way.

The session now ends behind the next answer, and after 200 ms without a statement. A caller that waits for its answer has nothing on its way at that moment.

a_caller_without_pauses_sees_the_end_behind_an_answer could not pass before: the connection was closed when the period ended.

--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -17,6 +17,9 @@
 /// that read what they are sent do so after the network delay (3 ms); others
 /// read it after their next statement.
 constexpr duration kRefusalPeriod = std::chrono::seconds(2);
+/// After that, a caller that uses its session without a pause has this long to
+/// send its last statement.
+constexpr duration kLastStatementPeriod = std::chrono::milliseconds(200);
 
 class front final : public line_front, private session_owner {
  public:
@@ -97,7 +100,13 @@
   }
   request_id BeginRequest(line_session& session) override;
   void EndRequest(request_id request) override { requests_.erase(request); }
-  void ScheduleRefusalEnd(line_session& session) override;
+  void ScheduleRefusalEnd(line_session& session) override {
+    RunAfter(kRefusalPeriod, session, &line_session::EndRefusalPeriod);
+  }
+  void ScheduleLastStatementEnd(line_session& session) override {
+    RunAfter(kLastStatementPeriod, session,
+             &line_session::EndAwaitingStatement);
+  }
   void OnSessionEnded(line_session& session) override;
 
   void Accept(const Poco::Net::StreamSocket& socket);
@@ -106,6 +115,9 @@
   line_session* Find(request_id request) const;
   template <typename callback>
   void RunAfter(duration delay, callback task);
+  /// Calls `step` of the session, if it still exists then.
+  void RunAfter(duration delay, const line_session& session,
+                void (line_session::*step)());
 
   instance_settings settings_;
   shell::event_loop& loop_;
@@ -141,12 +153,8 @@
   session_owner& owner = *this;
   sessions_.emplace(caller,
                     std::make_unique<line_session>(owner, caller, socket));
-  RunAfter(settings_.startup_timeout, [caller](front& self) {
-    const auto found = self.sessions_.find(caller);
-    if (found != self.sessions_.end()) {
-      found->second->EndStartup();
-    }
-  });
+  RunAfter(settings_.startup_timeout, *sessions_.at(caller),
+           &line_session::EndStartup);
 }
 
 request_id front::BeginRequest(line_session& session) {
@@ -155,11 +163,12 @@
   return request;
 }
 
-void front::ScheduleRefusalEnd(line_session& session) {
-  RunAfter(kRefusalPeriod, [caller = session.Caller()](front& self) {
+void front::RunAfter(duration delay, const line_session& session,
+                     void (line_session::*step)()) {
+  RunAfter(delay, [caller = session.Caller(), step](front& self) {
     const auto found = self.sessions_.find(caller);
     if (found != self.sessions_.end()) {
-      found->second->EndRefusalPeriod();
+      (found->second.get()->*step)();
     }
   });
 }
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -86,8 +86,15 @@
   if (connection_.Closing()) {
     return;
   }
+  last_answer_ = true;
   connection_.ReadAvailable();
-  if (!ended_) {
+  if (!ended_ && !connection_.Closing()) {
+    owner_.ScheduleLastStatementEnd(*this);
+  }
+}
+
+void line_session::EndAwaitingStatement() {
+  if (!connection_.Closing()) {
     connection_.LingerAfterFlush();
   }
 }
@@ -100,6 +107,13 @@
   }
 }
 
+void line_session::EndBehindAnswer() {
+  // A caller that waits for its answer sends nothing that could cross the end.
+  if (last_answer_ && input_.BufferedBytes() == 0) {
+    connection_.LingerAfterFlush();
+  }
+}
+
 void line_session::OnGone() {
   if (ended_) {
     return;
@@ -235,9 +249,10 @@
   }
   if (std::exchange(refused_ahead_, false)) {
     Finish();
-    return;
+  } else {
+    Refuse(refusal, closing_reason_.message);
   }
-  Refuse(refusal, closing_reason_.message);
+  EndBehindAnswer();
 }
 
 caller_refusal line_session::ClosingRefusal() const {
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -39,6 +39,9 @@
   /// Calls EndRefusalPeriod after the refusal period, if the session still
   /// exists.
   virtual void ScheduleRefusalEnd(line_session& session) = 0;
+  /// Calls EndAwaitingStatement after the time for one more statement, if the
+  /// session still exists.
+  virtual void ScheduleLastStatementEnd(line_session& session) = 0;
   /// Called by an ended session as its last action; it is destroyed later.
   virtual void OnSessionEnded(line_session& session) = 0;
 };
@@ -65,9 +68,11 @@
   void Abort() { connection_.Close(); }
   /// Closes the connection with `reason` as its last answer.
   void Dismiss(const failure& reason);
-  /// Ends the period in which statements in transit are refused, and closes the
-  /// connection.
+  /// Ends the period in which statements in transit are refused: closes the
+  /// connection behind the next answer.
   void EndRefusalPeriod();
+  /// Closes the connection if no such answer was due.
+  void EndAwaitingStatement();
 
   // Commands of the core.
   void Release();
@@ -100,6 +105,9 @@
   /// statement is on its way has its answer, whatever ends first.
   void RefuseAhead();
   caller_refusal ClosingRefusal() const;
+  /// Closes the connection behind the answer that was just given, if that is to
+  /// be the last one.
+  void EndBehindAnswer();
   void Succeed();
   void Refuse(caller_refusal reason, std::string_view text);
   void Finish();
@@ -117,6 +125,8 @@
   bool ended_ = false;
   /// The core has closed the caller; further statements are refused.
   bool closing_ = false;
+  /// The connection closes behind the next answer.
+  bool last_answer_ = false;
   /// The refusal of the next statement has been sent.
   bool refused_ahead_ = false;
   /// The reason of these refusals.
