--- a/lib/runtime/instance.cc
+++ b/lib/runtime/instance.cc
@@ -104,9 +104,10 @@
             Describe(edges->Front().Sessions()));
   edges->Front().CloseSessions();
   edges->Front().SetObserver(nullptr);
+  edges->Platform().Leave();
+  // Each waits up to 250 ms for its thread.
   readiness.reset();
   server.reset();
-  edges->Platform().Leave();
   if (sequence.Forced()) {
     log.Write(log_level::kWarning, "instance.ended", "by a second signal");
     return Fail(error_kind::kUnknown, "ended by a second signal");
--- a/lib/runtime/shutdown.cc
+++ b/lib/runtime/shutdown.cc
@@ -13,9 +13,9 @@
 
 /// Parts of the time that is left of the drain limit when the core has been
 /// drained: when the sessions that are left are dismissed, and when the loop
-/// ends whatever is left.
-constexpr double kDismissPart = 3.0 / 4;
-constexpr double kEndPart = 11.0 / 12;
+/// ends whatever is left. The rest is for leaving the platform.
+constexpr double kDismissPart = 2.0 / 3;
+constexpr double kEndPart = 5.0 / 6;
 
 /// Time for the shutdown after a second signal.
 constexpr duration kForcedLimit = std::chrono::milliseconds(400);
