Close the gaps that the independent review of the shutdown found

One reader who had not seen the work reviewed and found, by reading:

- The input behind the last answer was not read: the session's own bookkeeping turned reading off again after the output had ended.
So the caller's end was not seen for a second, and what it sent in it reset the connection.
The same held for malformed lines, and for PostgreSQL's FATAL at a startup.
- The end was bounded too late: dismissed sessions had 105 ms at the drain's limit for steps of 200 ms and more; a status request in flight held the process for up to 2 s; leaving the platform, one store call, came last.
- A drained core acts on no duty, but its membership went on, renewed the lease, and could claim the duty, for as long as a session stayed.
- A statement that took longer than 200 ms to arrive, or bytes still in the kernel, did not keep a session open; a slow reader's answers neither.
- A second signal after the drain aborted sessions without an answer.
One caller that left the backlog made the others wait in vain.
- A session closed for an unknown name was told BUSY in place of NODB.
- A later term had replaced the wait for an undeclared primary also for term-bound databases.

Now: nothing turns reading off once a connection closes; Dismiss ends a session without further steps; the platform is left on a thread of its own from the end of the drain on, which also ends renewals and claims; waits of status requests end with the loop; a session ends when nothing that arrived lacks an answer and all answers have left.

Tests, written with the change and not run before it, but for the first, whose section fails without it by the reviewer's trace: line_front/ a_caller_without_pauses_sees_the_end_behind_an_answer (the session ends as soon as the caller closes), a_statement_that_takes_long_to_arrive_is_answered. Without a test: the thread that leaves, status requests at the end, the backlog.

--- a/include/marjoramslip/runtime/caller_acceptor.h
+++ b/include/marjoramslip/runtime/caller_acceptor.h
@@ -41,7 +41,7 @@
   void OnWritable() override {}
   void OnSocketError() override { Pause(); }
 
-  /// False if there is none to accept now.
+  /// False if none can be accepted now.
   bool AcceptOne();
   void Pause();
 
--- a/include/marjoramslip/runtime/caller_front.h
+++ b/include/marjoramslip/runtime/caller_front.h
@@ -60,10 +60,11 @@
 
   /// Ends the front after the core has been drained: accepts the connections
   /// that wait to be accepted, then no more, and calls `on_ended` once there is
-  /// no session left. Statements are still passed to the core, which refuses
-  /// them.
+  /// no session left. Sessions that open until then are still reported to the
+  /// core, which closes them.
   virtual void EndWithSessions(std::function<void()> on_ended) = 0;
-  /// Closes the sessions that are left, each with `reason` as its last answer.
+  /// Closes the sessions that are left, with `reason` for whatever they have
+  /// not answered.
   virtual void DismissSessions(const failure& reason) = 0;
 
   /// `observer` must outlive the front; null: nobody.
--- a/include/marjoramslip/runtime/stream_connection.h
+++ b/include/marjoramslip/runtime/stream_connection.h
@@ -59,8 +59,10 @@
   bool TakeBack(std::uint64_t position);
 
   void SetReading(bool reading);
-  /// Reads what has arrived by now.
+  /// Reads what has arrived by now, up to a limit.
   void ReadAvailable();
+  /// True if the last read left bytes behind, as far as is known.
+  bool MayHaveMore() const { return may_have_more_; }
   /// Closes once everything is sent; reads no more.
   void CloseAfterFlush();
   /// As CloseAfterFlush, for a last message that must arrive: what the caller
@@ -97,6 +99,7 @@
   std::size_t offset_ = 0;
   std::uint64_t sent_ = 0;
   bool reading_ = true;
+  bool may_have_more_ = false;
   bool writing_ = false;
   bool open_ = true;
   bool closing_ = false;
--- a/lib/core/reducer.cc
+++ b/lib/core/reducer.cc
@@ -119,9 +119,10 @@
   }
 };
 
-/// True for events that need an answer after the end of all other work: callers
-/// may connect and send statements until the process has ended.
-bool IsAnsweredAfterDrain(const event& incoming) {
+/// True for events that are handled after the end of all other work: callers
+/// may connect and send statements until the process has ended, and faults are
+/// logged.
+bool IsHandledAfterDrain(const event& incoming) {
   return std::holds_alternative<caller_opened>(incoming) ||
          std::holds_alternative<statement_received>(incoming) ||
          std::holds_alternative<fault_reported>(incoming);
@@ -156,7 +157,7 @@
 
 void reducer::Apply(const event& incoming, instant now, effect_list& effects) {
   core_state& core = state_->core;
-  if (core.drained && !IsAnsweredAfterDrain(incoming)) {
+  if (core.drained && !IsHandledAfterDrain(incoming)) {
     return;
   }
   core.effects = &effects;
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -184,11 +184,12 @@
     undeclared_since_ = now;
   }
   // The release note that declares the primary may not have arrived yet. A
-  // primary that started again has returned under another id.
-  const bool has_returned =
-      !service_.term_bound && PresentPrimary() != endpoint_id{};
-  if ((has_returned || IsLaterTermOverdue(now) ||
-       now - *undeclared_since_ >= kUndeclaredPrimaryTimeout) &&
+  // primary that started again has returned under another id, and a later term
+  // has another primary.
+  const bool is_replaced =
+      !service_.term_bound &&
+      (PresentPrimary() != endpoint_id{} || IsLaterTermOverdue(now));
+  if ((is_replaced || now - *undeclared_since_ >= kUndeclaredPrimaryTimeout) &&
       step_ == step::kIdle && MayDrive(now)) {
     StartSealing(reason::kUnreachable, endpoint_id{}, now, effects);
   }
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -74,7 +74,10 @@
   }
   if (started_) {
     Close(reason);
-    EndRefusalPeriod();
+    connection_.ReadAvailable();
+    if (!ended_ && !connection_.Closing()) {
+      connection_.LingerAfterFlush();
+    }
     return;
   }
   owner_.Codec().AppendError(RefusalOf(reason, false), reason.message,
@@ -94,24 +97,37 @@
 }
 
 void line_session::EndAwaitingStatement() {
-  if (!connection_.Closing()) {
-    connection_.LingerAfterFlush();
+  if (connection_.Closing()) {
+    return;
+  }
+  if (!AllIsAnswered()) {
+    owner_.ScheduleLastStatementEnd(*this);
+    return;
   }
+  connection_.LingerAfterFlush();
 }
 
 void line_session::OnBytes(std::span<const char> bytes) {
   input_.Add(bytes);
   ProcessInput();
   if (closing_) {
-    RefuseAhead();
+    ContinueClosing();
   }
 }
 
-void line_session::EndBehindAnswer() {
+void line_session::ContinueClosing() {
   // A caller that waits for its answer sends nothing that could cross the end.
-  if (last_answer_ && input_.BufferedBytes() == 0) {
+  const bool answered = std::exchange(answered_, false);
+  if (last_answer_ && answered && AllIsAnswered()) {
     connection_.LingerAfterFlush();
+    return;
   }
+  RefuseAhead();
+}
+
+bool line_session::AllIsAnswered() const {
+  return input_.BufferedBytes() == 0 && !connection_.MayHaveMore() &&
+         connection_.Pending() == 0;
 }
 
 void line_session::OnGone() {
@@ -158,10 +174,10 @@
     HandleLine(*line);
   }
   processing_ = false;
-  if (ended_) {
+  if (ended_ || connection_.Closing()) {
     return;
   }
-  if (input_.Overflowed() && !connection_.Closing()) {
+  if (input_.Overflowed()) {
     owner_.Codec().AppendError(caller_refusal::kBadMessage,
                                "message exceeds the maximum length",
                                connection_.Output());
@@ -252,13 +268,10 @@
   } else {
     Refuse(refusal, closing_reason_.message);
   }
-  EndBehindAnswer();
 }
 
 caller_refusal line_session::ClosingRefusal() const {
-  return status_ == transaction_status::kIdle
-             ? caller_refusal::kBusy
-             : caller_refusal::kTransactionLost;
+  return RefusalOf(closing_reason_, status_ != transaction_status::kIdle);
 }
 
 void line_session::RefuseAhead() {
@@ -390,6 +403,7 @@
     owner_.EndRequest(request_);
     request_ = {};
   }
+  answered_ = true;
   owner_.Codec().AppendReady(status_, connection_.Output());
   connection_.Flush();
   ProcessInput();
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -48,6 +48,15 @@
 
 /// Turns lines of the caller into events and answers into lines. One statement
 /// at a time is in progress; further ones are queued.
+///
+/// The end of a session, unless the caller closes it before:
+/// 1. Close: the core has closed the caller. Statements are refused here, and
+///    the refusal of the next one is sent ahead.
+/// 2. EndRefusalPeriod: the connection closes behind the next answer.
+/// 3. EndAwaitingStatement: no statement came; the connection closes.
+/// Closing sends what is left, ends the output, and discards input until the
+/// caller has closed its side. Dismiss goes from any state to that, Abort
+/// closes the socket.
 class line_session final : private shell::connection_user {
  public:
   line_session(session_owner& owner, caller_id caller,
@@ -106,8 +115,10 @@
   void RefuseAhead();
   caller_refusal ClosingRefusal() const;
   /// Closes the connection behind the answer that was just given, if that is to
-  /// be the last one.
-  void EndBehindAnswer();
+  /// be the last one; refuses the next statement ahead otherwise.
+  void ContinueClosing();
+  /// True if nothing that arrived lacks an answer, and all answers were sent.
+  bool AllIsAnswered() const;
   void Succeed();
   void Refuse(caller_refusal reason, std::string_view text);
   void Finish();
@@ -127,6 +138,8 @@
   bool closing_ = false;
   /// The connection closes behind the next answer.
   bool last_answer_ = false;
+  /// A statement was answered since ContinueClosing was last called.
+  bool answered_ = false;
   /// The refusal of the next statement has been sent.
   bool refused_ahead_ = false;
   /// The reason of these refusals.
--- a/lib/postgres/caller_session.cc
+++ b/lib/postgres/caller_session.cc
@@ -108,6 +108,10 @@
   if (!connection_.Open()) {
     return;
   }
+  if (connection_.Closing()) {
+    connection_.Flush();
+    return;
+  }
   // A caller that sends ahead waits once a whole message is there.
   connection_.SetReading(decoder_.Buffered() <=
                          host_.Settings().max_message_bytes);
--- a/lib/runtime/caller_acceptor.cc
+++ b/lib/runtime/caller_acceptor.cc
@@ -76,8 +76,10 @@
     take_(socket_.acceptConnection());
     return true;
   } catch (const Poco::Exception& why) {
-    const bool none_left = why.code() == EAGAIN || why.code() == ECONNABORTED;
-    if (!none_left) {
+    if (why.code() == ECONNABORTED) {
+      return true;  // That caller has left; others may wait.
+    }
+    if (why.code() != EAGAIN) {
       Pause();
     }
     return false;
--- a/lib/runtime/instance.cc
+++ b/lib/runtime/instance.cc
@@ -82,7 +82,7 @@
                    .log = log,
                    .measured = measured},
                   [&shutdown] { shutdown->OnDrained(); });
-  shutdown_sequence sequence(loop, log, running, edges->Front(), settings);
+  shutdown_sequence sequence(loop, log, running, *edges, settings);
   shutdown = &sequence;
   const signal_watch signals(
       loop, [&sequence](int count) { sequence.OnSignal(count); },
@@ -104,7 +104,8 @@
             Describe(edges->Front().Sessions()));
   edges->Front().CloseSessions();
   edges->Front().SetObserver(nullptr);
-  edges->Platform().Leave();
+  running.OnLoopEnded();
+  sequence.AwaitLeave();
   // Each waits up to 250 ms for its thread.
   readiness.reset();
   server.reset();
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::chrono::seconds kStatusTimeout{2};
+/// Interval at which a wait for the loop looks whether that still runs.
+constexpr std::chrono::milliseconds kStatusStep{50};
 /// Lines about requests in each window: enough to find a cause by, at some
 /// thousandths of a core.
 constexpr std::uint32_t kRequestLines = 50;
@@ -243,10 +245,15 @@
   std::future<std::string> text = answer->get_future();
   parts_.loop.PostFromThread(
       [answer, make = std::move(make)] { answer->set_value(make()); });
-  if (text.wait_for(kStatusTimeout) != std::future_status::ready) {
-    return std::nullopt;
+  for (duration waited{}; waited < kStatusTimeout; waited += kStatusStep) {
+    if (text.wait_for(kStatusStep) == std::future_status::ready) {
+      return text.get();
+    }
+    if (loop_ended_) {
+      return std::nullopt;
+    }
   }
-  return text.get();
+  return std::nullopt;
 }
 
 }  // namespace marjoramslip::shell
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -52,6 +52,8 @@
   std::optional<std::string> Metrics() override;
   std::optional<std::string> Status() override;
   bool Ready() override { return ready_; }
+  /// The loop runs no more: whoever waits for it on another thread gives up.
+  void OnLoopEnded() { loop_ended_ = true; }
   /// Callers are no longer to be sent here.
   void SetLeaving() {
     draining_ = true;
@@ -97,6 +99,7 @@
   name_table names_;
   /// Follows what the core reports; read by the status servers' threads.
   std::atomic<bool> ready_ = false;
+  std::atomic<bool> loop_ended_ = false;
   bool draining_ = false;
   instant request_lines_since_{};
   std::uint32_t request_lines_ = 0;
--- a/lib/runtime/shutdown.cc
+++ b/lib/runtime/shutdown.cc
@@ -13,11 +13,12 @@
 
 /// Parts of the time that is left of the drain limit when the core has been
 /// drained: when the sessions that are left are dismissed, and when the loop
-/// ends whatever is left. The rest is for leaving the platform.
+/// ends whatever is left. The rest is for the end of the process itself.
 constexpr double kDismissPart = 2.0 / 3;
 constexpr double kEndPart = 5.0 / 6;
 
-/// Time for the shutdown after a second signal.
+/// Time for the shutdown after a second signal, and the least time for sessions
+/// to end after the drain.
 constexpr duration kForcedLimit = std::chrono::milliseconds(400);
 
 duration PartOf(duration whole, double part) {
@@ -50,18 +51,31 @@
   forced_ = true;
   ends_at_ = std::min(ends_at_, loop_.Now() + kForcedLimit);
   loop_.Post(drain_requested{.at_once = true});
+  if (drained_) {
+    front_.DismissSessions(ShutdownFailure());
+  }
   loop_.After(ends_at_ - loop_.Now(), [this] { loop_.Stop(); });
 }
 
 void shutdown_sequence::OnDrained() {
   log_.Write(log_level::kInfo, "drain.completed", Describe(front_.Sessions()));
+  drained_ = true;
+  // A drained instance acts on no duty and acknowledges nothing: it must not
+  // count as a member while its last sessions end.
+  leaving_ = std::jthread([this] { platform_.Leave(); });
   front_.EndWithSessions([this] { loop_.Stop(); });
-  const duration left = ends_at_ - loop_.Now();
+  const duration left = std::max(ends_at_ - loop_.Now(), kForcedLimit);
   loop_.After(PartOf(left, kDismissPart),
               [this] { front_.DismissSessions(ShutdownFailure()); });
   loop_.After(PartOf(left, kEndPart), [this] { loop_.Stop(); });
 }
 
+void shutdown_sequence::AwaitLeave() {
+  if (leaving_.joinable()) {
+    leaving_.join();
+  }
+}
+
 std::string Describe(const session_counts& sessions) {
   return "starting " + std::to_string(sessions.starting) + ", open " +
          std::to_string(sessions.open) + ", closing " +
--- a/lib/runtime/shutdown.h
+++ b/lib/runtime/shutdown.h
@@ -3,25 +3,30 @@
 #ifndef MARJORAMSLIP_LIB_RUNTIME_SHUTDOWN_H_
 #define MARJORAMSLIP_LIB_RUNTIME_SHUTDOWN_H_
 
+#include <thread>
+
 #include "log_writer.h"
 #include "marjoramslip/runtime/caller_front.h"
+#include "marjoramslip/runtime/instance.h"
+#include "marjoramslip/runtime/platform_link.h"
 #include "marjoramslip/runtime/poll_loop.h"
 #include "marjoramslip/settings/settings.h"
 #include "runtime.h"
 
 namespace marjoramslip::shell {
 
-/// Gives balancers notice, has the core drained, and ends the loop with the
-/// last session. Every wait is bounded by the drain limit. All parts must
-/// outlive it.
+/// Gives balancers notice, has the core drained, leaves the platform, and ends
+/// the loop with the last session, or when the time for that is over. All parts
+/// must outlive it.
 class shutdown_sequence {
  public:
   shutdown_sequence(poll_loop& loop, log_writer& log, runtime& running,
-                    caller_front& front, const instance_settings& settings)
+                    instance_edges& edges, const instance_settings& settings)
       : loop_(loop),
         log_(log),
         running_(running),
-        front_(front),
+        front_(edges.Front()),
+        platform_(edges.Platform()),
         notice_(settings.drain_notice),
         limit_(settings.drain_limit) {}
   shutdown_sequence(const shutdown_sequence&) = delete;
@@ -35,6 +40,9 @@
   /// Called when the core has been drained.
   void OnDrained();
 
+  /// Returns once the platform has been left. The loop must have ended.
+  void AwaitLeave();
+
   /// True if a second signal came.
   bool Forced() const { return forced_; }
 
@@ -45,10 +53,13 @@
   log_writer& log_;
   runtime& running_;
   caller_front& front_;
+  platform_link& platform_;
   duration notice_;
   duration limit_;
   instant ends_at_{};
+  bool drained_ = false;
   bool forced_ = false;
+  std::jthread leaving_;
 };
 
 /// Describes sessions for the log.
--- a/lib/runtime/stream_connection.cc
+++ b/lib/runtime/stream_connection.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16U << 10U;
+/// Reads in one call of ReadAvailable: a caller may send faster than this.
+constexpr int kReadsAtOnce = 64;
 constexpr std::size_t kLargestWrite = 1U << 20U;
 constexpr std::size_t kCompactBytes = 64U << 10U;
 
@@ -184,7 +186,7 @@
 void stream_connection::OnReadable() { ReadSome(); }
 
 void stream_connection::ReadAvailable() {
-  while (ReadSome()) {
+  for (int i = 0; i < kReadsAtOnce && ReadSome(); ++i) {
   }
 }
 
@@ -200,6 +202,7 @@
     CloseFor(close_cause::kFailure);
     return false;
   }
+  may_have_more_ = count == static_cast<int>(bytes.size());
   if (count < 0) {
     return false;
   }
--- a/unittests/platform/line_front_test.cc
+++ b/unittests/platform/line_front_test.cc
@@ -264,6 +264,35 @@
   caller.Send("QUERY 2 READ a\r\n");
   EXPECT(caller.Receive() == kRest);
   EXPECT(caller.Closed());
+  SECTION("and the session ends as soon as the caller closes") {
+    const std::size_t before = fixture.loop.Watched();
+    caller.Shut();
+    fixture.loop.Turn();
+    fixture.loop.Turn();
+    EXPECT(fixture.loop.Watched() < before);
+  }
+}
+
+Test(line_front, a_statement_that_takes_long_to_arrive_is_answered) {
+  line_front_fixture fixture;
+  bench_caller caller(fixture.loop);
+  fixture.front->Close({fixture.OpenSession(caller), kGoing});
+  caller.Send("QUERY 1 REA");
+  fixture.loop.Turn();
+  fixture.loop.Advance(kAfterRefusals);
+  for (int i = 0; i < 3; ++i) {
+    fixture.loop.Advance(kAfterLastStatement);
+  }
+  EXPECT(caller.Receive() == kRefusedAhead);
+  EXPECT(!caller.Closed());
+  caller.Send("D a\r\n");
+  std::string answer;
+  // The kernel holds the second piece until the first one is acknowledged.
+  for (int i = 0; i < 50 && answer.empty(); ++i) {
+    answer = caller.Receive();
+  }
+  EXPECT(answer == kRest);
+  EXPECT(caller.Closed());
 }
 
 // Guards against statements that cross the end of their session and stay
