--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -5,10 +5,10 @@
 #include <memory>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "line_session.h"
 #include "marjoramslip/runtime/caller_acceptor.h"
+#include "marjoramslip/runtime/session_set.h"
 
 namespace marjoramslip::lines {
 namespace {
@@ -28,7 +28,7 @@
       : settings_(settings),
         loop_(loop),
         codec_(codec),
-        self_(std::make_shared<front*>(this)),
+        sessions_(loop),
         acceptor_(loop, socket,
                   [this](const Poco::Net::StreamSocket& accepted) {
                     Accept(accepted);
@@ -48,13 +48,18 @@
     }
   }
   void Close(const close_caller& command) override;
-  void EndWithSessions(std::function<void()> on_ended) override;
-  void DismissSessions(const failure& reason) override;
+  void EndWithSessions(std::function<void()> on_ended) override {
+    acceptor_.Finish();
+    sessions_.ReportEndTo(std::move(on_ended));
+  }
+  void DismissSessions(const failure& reason) override {
+    sessions_.Dismiss(reason);
+  }
   void SetObserver(shell::session_observer* observer) override {
     observer_ = observer;
   }
-  shell::session_counts Sessions() const override;
-  void CloseSessions() override;
+  shell::session_counts Sessions() const override { return sessions_.Counts(); }
+  void CloseSessions() override { sessions_.Abort(); }
   std::string_view NameOf(request_id request) const override {
     const line_session* const session = Find(request);
     return session == nullptr ? std::string_view() : session->StatementId();
@@ -101,23 +106,17 @@
   request_id BeginRequest(line_session& session) override;
   void EndRequest(request_id request) override { requests_.erase(request); }
   void ScheduleRefusalEnd(line_session& session) override {
-    RunAfter(kRefusalPeriod, session, &line_session::EndRefusalPeriod);
+    sessions_.CallAfter(kRefusalPeriod, session.Caller(),
+                        &line_session::EndRefusalPeriod);
   }
   void ScheduleLastStatementEnd(line_session& session) override {
-    RunAfter(kLastStatementPeriod, session,
-             &line_session::EndAwaitingStatement);
+    sessions_.CallAfter(kLastStatementPeriod, session.Caller(),
+                        &line_session::EndAwaitingStatement);
   }
   void OnSessionEnded(line_session& session) override;
 
   void Accept(const Poco::Net::StreamSocket& socket);
-  /// Reports the end of the front if its last session has ended.
-  void ReportEnd();
   line_session* Find(request_id request) const;
-  template <typename callback>
-  void RunAfter(duration delay, callback task);
-  /// Calls `step` of the session, if it still exists then.
-  void RunAfter(duration delay, const line_session& session,
-                void (line_session::*step)());
 
   instance_settings settings_;
   shell::event_loop& loop_;
@@ -125,36 +124,20 @@
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
   shell::session_observer* observer_ = nullptr;
-  std::function<void()> on_ended_;
-  std::unordered_map<caller_id, std::unique_ptr<line_session>> sessions_;
+  shell::session_set<line_session> sessions_;
   std::unordered_map<request_id, line_session*> requests_;
-  /// Ended sessions that may still be on the call stack; destroyed in a later
-  /// turn of the event loop.
-  std::unordered_map<caller_id, std::unique_ptr<line_session>> ended_sessions_;
-  std::shared_ptr<front*> self_;
   shell::caller_acceptor acceptor_;
 };
 
-template <typename callback>
-void front::RunAfter(duration delay, callback task) {
-  const std::weak_ptr<front*> weak = self_;
-  loop_.After(delay, [weak, task] {
-    if (const auto self = weak.lock()) {
-      task(**self);
-    }
-  });
-}
-
 void front::Accept(const Poco::Net::StreamSocket& socket) {
-  if (sessions_.size() >= settings_.max_callers) {
+  if (sessions_.Size() >= settings_.max_callers) {
     return;
   }
   const caller_id caller{++last_caller_};
   session_owner& owner = *this;
-  sessions_.emplace(caller,
-                    std::make_unique<line_session>(owner, caller, socket));
-  RunAfter(settings_.startup_timeout, *sessions_.at(caller),
-           &line_session::EndStartup);
+  sessions_.Add(caller, std::make_unique<line_session>(owner, caller, socket));
+  sessions_.CallAfter(settings_.startup_timeout, caller,
+                      &line_session::EndStartup);
 }
 
 request_id front::BeginRequest(line_session& session) {
@@ -163,16 +146,6 @@
   return request;
 }
 
-void front::RunAfter(duration delay, const line_session& session,
-                     void (line_session::*step)()) {
-  RunAfter(delay, [caller = session.Caller(), step](front& self) {
-    const auto found = self.sessions_.find(caller);
-    if (found != self.sessions_.end()) {
-      (found->second.get()->*step)();
-    }
-  });
-}
-
 void front::OnSessionEnded(line_session& session) {
   if (const auto cut = session.Cut(); cut && observer_ != nullptr) {
     observer_->OnSessionCut(*cut);
@@ -180,58 +153,7 @@
   if (session.Started()) {
     loop_.Post(caller_closed{session.Caller()});
   }
-  auto node = sessions_.extract(session.Caller());
-  if (node.empty()) {
-    return;
-  }
-  ended_sessions_.insert(std::move(node));
-  RunAfter(duration{0}, [](front& self) { self.ended_sessions_.clear(); });
-  ReportEnd();
-}
-
-shell::session_counts front::Sessions() const {
-  shell::session_counts counts;
-  for (const auto& [caller, session] : sessions_) {
-    session->CountInto(counts);
-  }
-  return counts;
-}
-
-void front::EndWithSessions(std::function<void()> on_ended) {
-  on_ended_ = std::move(on_ended);
-  acceptor_.Finish();
-  ReportEnd();
-}
-
-void front::ReportEnd() {
-  if (on_ended_ && sessions_.empty()) {
-    RunAfter(duration{0}, [](front& self) {
-      if (const auto on_ended = std::exchange(self.on_ended_, nullptr)) {
-        on_ended();
-      }
-    });
-  }
-}
-
-void front::DismissSessions(const failure& reason) {
-  // A session that ends leaves the map.
-  std::vector<caller_id> callers;
-  callers.reserve(sessions_.size());
-  for (const auto& session : sessions_) {
-    callers.push_back(session.first);
-  }
-  for (const caller_id caller : callers) {
-    const auto found = sessions_.find(caller);
-    if (found != sessions_.end()) {
-      found->second->Dismiss(reason);
-    }
-  }
-}
-
-void front::CloseSessions() {
-  while (!sessions_.empty()) {
-    sessions_.begin()->second->Abort();
-  }
+  sessions_.Remove(session.Caller());
 }
 
 line_session* front::Find(request_id request) const {
@@ -240,21 +162,14 @@
 }
 
 void front::Close(const close_caller& command) {
-  const auto found = sessions_.find(command.caller);
-  if (found != sessions_.end()) {
-    found->second->Close(command.reason);
+  if (line_session* const session = sessions_.Find(command.caller)) {
+    session->Close(command.reason);
   }
 }
 
 std::string_view front::ServiceOf(caller_id caller) const {
-  auto found = sessions_.find(caller);
-  if (found == sessions_.end()) {
-    found = ended_sessions_.find(caller);
-    if (found == ended_sessions_.end()) {
-      return {};
-    }
-  }
-  return found->second->Database();
+  const line_session* const session = sessions_.FindOrEnded(caller);
+  return session == nullptr ? std::string_view() : session->Database();
 }
 
 bool front::FindStatement(request_id request, outgoing_statement& statement) {
--- a/lib/postgres/postgres_front.cc
+++ b/lib/postgres/postgres_front.cc
@@ -5,11 +5,11 @@
 #include <memory>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "caller_cancel.h"
 #include "caller_session.h"
 #include "marjoramslip/runtime/caller_acceptor.h"
+#include "marjoramslip/runtime/session_set.h"
 
 namespace marjoramslip::shell {
 namespace {
@@ -31,13 +31,18 @@
   void SetFlowListener(flow_listener* listener) override {
     listener_ = listener;
   }
-  void EndWithSessions(std::function<void()> on_ended) override;
-  void DismissSessions(const failure& reason) override;
+  void EndWithSessions(std::function<void()> on_ended) override {
+    acceptor_.Finish();
+    sessions_.ReportEndTo(std::move(on_ended));
+  }
+  void DismissSessions(const failure& reason) override {
+    sessions_.Dismiss(reason);
+  }
   void SetObserver(session_observer* observer) override {
     observer_ = observer;
   }
-  session_counts Sessions() const override;
-  void CloseSessions() override;
+  session_counts Sessions() const override { return sessions_.Counts(); }
+  void CloseSessions() override { sessions_.Abort(); }
   std::string_view TenantOf(caller_id caller) const override;
   std::string_view ServiceOf(caller_id caller) const override;
 
@@ -71,15 +76,7 @@
   void Gone(caller_session& session) override;
 
   void Take(const Poco::Net::StreamSocket& socket);
-  /// Reports the end of the front if its last session has ended.
-  void ReportEnd();
   caller_session* Find(request_id request) const;
-  caller_session* Find(caller_id caller) const;
-  /// Finds those that have just gone too: the core still reports on them.
-  const caller_session* FindOrGone(caller_id caller) const;
-  /// Calls `task` with this front after `delay`, if it still exists.
-  template <typename work>
-  void Later(duration delay, work task);
 
   instance_settings settings_;
   event_loop& loop_;
@@ -87,15 +84,11 @@
   cancel_registry cancels_;
   flow_listener* listener_ = nullptr;
   session_observer* observer_ = nullptr;
-  std::function<void()> on_ended_;
   std::uint64_t last_caller_ = 0;
   std::uint64_t last_request_ = 0;
   std::size_t admitted_ = 0;
-  std::unordered_map<caller_id, std::unique_ptr<caller_session>> sessions_;
+  session_set<caller_session> sessions_;
   std::unordered_map<request_id, caller_session*> requests_;
-  /// Sessions that are over and may still be on the stack.
-  std::unordered_map<caller_id, std::unique_ptr<caller_session>> over_;
-  std::shared_ptr<front*> self_;
   caller_acceptor acceptor_;
 };
 
@@ -103,34 +96,20 @@
              const Poco::Net::ServerSocket& socket)
     : settings_(settings),
       loop_(loop),
-      self_(std::make_shared<front*>(this)),
+      sessions_(loop),
       acceptor_(loop, socket, [this](const Poco::Net::StreamSocket& accepted) {
         Take(accepted);
       }) {}
 
-template <typename work>
-void front::Later(duration delay, work task) {
-  const std::weak_ptr<front*> weak = self_;
-  loop_.After(delay, [weak, task] {
-    if (const auto self = weak.lock()) {
-      task(**self);
-    }
-  });
-}
-
 void front::Take(const Poco::Net::StreamSocket& socket) {
-  if (sessions_.size() >= settings_.max_callers + kSpareConnections) {
+  if (sessions_.Size() >= settings_.max_callers + kSpareConnections) {
     return;
   }
   const caller_id caller{++last_caller_};
   session_host& host = *this;
-  sessions_.emplace(caller,
-                    std::make_unique<caller_session>(host, caller, socket));
-  Later(settings_.startup_timeout, [caller](front& self) {
-    if (caller_session* session = self.Find(caller)) {
-      session->EndStartup();
-    }
-  });
+  sessions_.Add(caller, std::make_unique<caller_session>(host, caller, socket));
+  sessions_.CallAfter(settings_.startup_timeout, caller,
+                      &caller_session::EndStartup);
 }
 
 std::optional<cancel_key> front::Admit(caller_session& session) {
@@ -160,51 +139,6 @@
   }
 }
 
-session_counts front::Sessions() const {
-  session_counts counts;
-  for (const auto& [caller, session] : sessions_) {
-    session->CountInto(counts);
-  }
-  return counts;
-}
-
-void front::EndWithSessions(std::function<void()> on_ended) {
-  on_ended_ = std::move(on_ended);
-  acceptor_.Finish();
-  ReportEnd();
-}
-
-void front::ReportEnd() {
-  if (on_ended_ && sessions_.empty()) {
-    Later(duration{0}, [](front& self) {
-      if (const auto on_ended = std::exchange(self.on_ended_, nullptr)) {
-        on_ended();
-      }
-    });
-  }
-}
-
-void front::DismissSessions(const failure& reason) {
-  // A session that ends leaves the map.
-  std::vector<caller_id> callers;
-  callers.reserve(sessions_.size());
-  for (const auto& session : sessions_) {
-    callers.push_back(session.first);
-  }
-  for (const caller_id caller : callers) {
-    const auto found = sessions_.find(caller);
-    if (found != sessions_.end()) {
-      found->second->Dismiss(reason);
-    }
-  }
-}
-
-void front::CloseSessions() {
-  while (!sessions_.empty()) {
-    sessions_.begin()->second->Abort();
-  }
-}
-
 void front::Gone(caller_session& session) {
   if (const auto cut = session.Cut(); cut && observer_ != nullptr) {
     observer_->OnSessionCut(*cut);
@@ -214,13 +148,7 @@
     --admitted_;
     loop_.Post(caller_closed{session.Caller()});
   }
-  auto node = sessions_.extract(session.Caller());
-  if (node.empty()) {
-    return;
-  }
-  over_.insert(std::move(node));
-  Later(duration{0}, [](front& self) { self.over_.clear(); });
-  ReportEnd();
+  sessions_.Remove(session.Caller());
 }
 
 caller_session* front::Find(request_id request) const {
@@ -228,16 +156,6 @@
   return found == requests_.end() ? nullptr : found->second;
 }
 
-caller_session* front::Find(caller_id caller) const {
-  const auto found = sessions_.find(caller);
-  return found == sessions_.end() ? nullptr : found->second.get();
-}
-
-const caller_session* front::FindOrGone(caller_id caller) const {
-  const auto gone = over_.find(caller);
-  return gone == over_.end() ? Find(caller) : gone->second.get();
-}
-
 void front::Release(const release_answer& what) {
   if (caller_session* session = Find(what.request)) {
     session->Release(what);
@@ -251,18 +169,18 @@
 }
 
 void front::Close(const close_caller& what) {
-  if (caller_session* session = Find(what.caller)) {
+  if (caller_session* session = sessions_.Find(what.caller)) {
     session->Close(what.reason);
   }
 }
 
 std::string_view front::TenantOf(caller_id caller) const {
-  const caller_session* session = FindOrGone(caller);
+  const caller_session* session = sessions_.FindOrEnded(caller);
   return session == nullptr ? std::string_view() : session->Tenant();
 }
 
 std::string_view front::ServiceOf(caller_id caller) const {
-  const caller_session* session = FindOrGone(caller);
+  const caller_session* session = sessions_.FindOrEnded(caller);
   return session == nullptr ? std::string_view() : session->Service();
 }
 
