Start an instance of the soak again if another test held its port

The ports of an instance that was stopped are free until it starts again, and another test's search for free ports can hold one.

A restart that ends with that message is now tried again, up to 20 times; any other early end is still a complaint.

--- a/test/shutdown_soak.py
+++ b/test/shutdown_soak.py
@@ -38,6 +38,8 @@
 PATIENCE_S = 9.0
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 LARGE_ITEM, LARGE_BYTES = "large", 200_000
+# A start that finds a port taken is tried again, after a look this much later.
+STARTS, START_LOOK_S, TAKEN = 20, 0.3, "Address already in use"
 # Exit code of a process that was asked to end a second time.
 CUT_OFF = 1
 
@@ -258,7 +260,19 @@
                 self._complain(f"{instance.name}: {line}")
         self.ended += 1
         time.sleep(dice.random())
-        self.cluster.restart_instance(number)
+        self._start_again(number)
+
+    def _start_again(self, number):
+        """Starts an instance again. Its ports were free for a while, and tests
+        that run beside this one may hold one of them for a moment."""
+        for _ in range(STARTS):
+            self.cluster.restart_instance(number)
+            instance = self.cluster.instances[number]
+            self._over.wait(START_LOOK_S)
+            if instance.running() or TAKEN not in instance.log_tail():
+                return
+            instance.stop()
+        raise ClusterError("its ports stay taken")
 
     def _reload(self, number, dice):
         """Changes the settings file, with a signal or without one."""
