Let an instance leave in a test only after its first claim

Cause, in the test: it lets the instance leave when that reads the seats, and takes the seat for the other one in the instance's first claim. If the follower's read of the directory takes longer than 100 ms, the instance reads the seats before it claims one, and left before the claim.

It now leaves at the first read after the claim, as its comment says. The checks are unchanged.

--- a/unittests/coordination/leaving_test.cc
+++ b/unittests/coordination/leaving_test.cc
@@ -43,8 +43,11 @@
     return true;
   };
   hooked.after_read = [&] {
-    link_of.get()->Leave();
-    left = true;
+    // The first claim may follow a read of its own, if the follower's is late.
+    if (claimed) {
+      link_of.get()->Leave();
+      left = true;
+    }
   };
   instance_settings settings;
   settings.name = "i-1";
