--- a/test/cluster_of_processes.py
+++ b/test/cluster_of_processes.py
@@ -113,6 +113,10 @@
                          if line.startswith(word + " ")), None)
         return wait_until(f"{self.name} says '{word}'", found)
 
+    def silent(self):
+        """True if it has not written a line."""
+        return not self._lines
+
     def kill(self):
         """The crash."""
         self._handle.kill()
