Report answers that do not fit the statement in progress

Change: log line answer.mismatched and counter marjoramslip_answers_mismatched_total, by kind: unrequested, repeated, out of step, malformed. A link remembers the ends of its answers to recognise a repeated one. What is done with answers is unchanged.

--- a/include/marjoramslip/lines/messages.h
+++ b/include/marjoramslip/lines/messages.h
@@ -75,7 +75,7 @@
 
 /// A statement succeeded.
 struct done_line {
-  std::string_view signature;
+  std::string_view signature;  ///< Empty: the endpoint signed nothing.
 };
 
 /// A statement did not succeed.
--- a/lib/lines/line_link.cc
+++ b/lib/lines/line_link.cc
@@ -105,13 +105,17 @@
 
 void line_link::Handle(const row_line& row) {
   if (preceding_answers_ > 0 || request_ == request_id{}) {
-    FailConnection();
+    Reject(request_ == request_id{} ? shell::answer_mismatch::kUnrequested
+                                    : shell::answer_mismatch::kOutOfStep);
     return;
   }
   context_.exchange.OnRow(request_, row.line);
 }
 
 void line_link::Handle(const done_line& done) {
+  if (!done.signature.empty() && history_.Add(done.signature)) {
+    Report(shell::answer_mismatch::kRepeated, false);
+  }
   if (preceding_answers_ > 0) {
     return;
   }
@@ -122,7 +126,7 @@
 void line_link::Handle(const error_line& error) {
   if (preceding_answers_ > 0) {
     // The session's state was not applied, so the statement runs without it.
-    FailConnection();
+    Reject(shell::answer_mismatch::kOutOfStep);
     return;
   }
   ended_ = true;
@@ -139,13 +143,16 @@
     return;
   }
   if (!ended_ || request_ == request_id{}) {
-    FailConnection();
+    Reject(request_ == request_id{} ? shell::answer_mismatch::kUnrequested
+                                    : shell::answer_mismatch::kOutOfStep);
     return;
   }
   Finish(ready);
 }
 
-void line_link::Handle(const malformed_line& /*line*/) { FailConnection(); }
+void line_link::Handle(const malformed_line& /*line*/) {
+  Reject(shell::answer_mismatch::kMalformed);
+}
 
 void line_link::Finish(const ready_line& ready) {
   const request_id request = std::exchange(request_, request_id{});
@@ -161,6 +168,21 @@
                                         .state = StateOf(ready)});
 }
 
+void line_link::Report(shell::answer_mismatch mismatch,
+                       bool connection_closed) {
+  context_.observer.OnMismatchedAnswer(
+      {.endpoint = endpoint_,
+       .connection = id_,
+       .request = request_,
+       .mismatch = mismatch,
+       .connection_closed = connection_closed});
+}
+
+void line_link::Reject(shell::answer_mismatch mismatch) {
+  Report(mismatch, true);
+  FailConnection();
+}
+
 void line_link::FailConnection() {
   socket_.Close();
   OnLost();
--- a/lib/lines/line_link.h
+++ b/lib/lines/line_link.h
@@ -5,11 +5,13 @@
 
 #include <string_view>
 
+#include "answer_history.h"
 #include "endpoint_socket.h"
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
 #include "marjoramslip/lines/line_front.h"
 #include "marjoramslip/lines/session_state.h"
+#include "marjoramslip/runtime/endpoint_links.h"
 
 namespace marjoramslip::lines {
 
@@ -27,15 +29,17 @@
   const line_codec& codec;
   statement_exchange& exchange;
   link_owner& owner;
+  shell::answer_observer& observer;
 };
 
 /// Posts connection_opened or connection_refused; after connection_opened,
 /// statement_answered for each statement and connection_lost at most once.
 class line_link final : private endpoint_listener {
  public:
-  line_link(const link_context& context, connection_id id)
+  line_link(const link_context& context, connection_id id, endpoint_id endpoint)
       : context_(context),
         id_(id),
+        endpoint_(endpoint),
         socket_(context.loop, context.codec, *this) {}
 
   /// `client` is the name in which the connection is opened: that of an account
@@ -61,13 +65,18 @@
   void Handle(const error_line& error);
   void Handle(const ready_line& ready);
   void Handle(const malformed_line& line);
+  void Report(shell::answer_mismatch mismatch, bool connection_closed);
+  /// Gives up the connection because of an answer that does not fit.
+  void Reject(shell::answer_mismatch mismatch);
   void FailConnection();
   void Finish(const ready_line& ready);
 
   link_context context_;
   connection_id id_;
+  endpoint_id endpoint_;
   endpoint_socket socket_;
   connection_session_state memory_;
+  answer_history history_;
 
   // The statement in progress.
   request_id request_;
--- a/lib/lines/line_links.cc
+++ b/lib/lines/line_links.cc
@@ -14,13 +14,15 @@
 namespace marjoramslip::lines {
 namespace {
 
-class links final : public shell::endpoint_links, private link_owner {
+class links final : public shell::endpoint_links,
+                    private link_owner,
+                    private shell::answer_observer {
  public:
   links(const instance_settings& settings, shell::event_loop& loop,
         const line_codec& codec, statement_exchange& exchange,
         endpoint_promoter& promoter)
       : instance_(settings.name),
-        context_{loop, codec, exchange, *this},
+        context_{loop, codec, exchange, *this, *this},
         promoter_(promoter),
         self_(std::make_shared<links*>(this)) {}
 
@@ -38,9 +40,17 @@
     MonitorOf(command.endpoint).Move(command);
   }
   void Promote(const promote_endpoint& command) override;
+  void SetObserver(shell::answer_observer* observer) override {
+    observer_ = observer;
+  }
 
  private:
   void OnLinkEnded(connection_id connection) override;
+  void OnMismatchedAnswer(const shell::mismatched_answer& answer) override {
+    if (observer_ != nullptr) {
+      observer_->OnMismatchedAnswer(answer);
+    }
+  }
 
   /// `extension` is the further time for an accepted connection; zero if there
   /// is none left.
@@ -52,6 +62,7 @@
   std::string instance_;
   link_context context_;
   endpoint_promoter& promoter_;
+  shell::answer_observer* observer_ = nullptr;
   std::unordered_map<endpoint_id, endpoint_target> targets_;
   std::unordered_map<connection_id, std::unique_ptr<line_link>> links_;
   std::map<endpoint_id, std::unique_ptr<line_monitor>> monitors_;
@@ -88,8 +99,9 @@
 line_monitor& links::MonitorOf(endpoint_id endpoint) {
   std::unique_ptr<line_monitor>& slot = monitors_[endpoint];
   if (slot == nullptr) {
+    shell::answer_observer& observer = *this;
     slot = std::make_unique<line_monitor>(context_.loop, context_.codec,
-                                          endpoint, instance_);
+                                          observer, endpoint, instance_);
     slot->SetTarget(TargetOf(endpoint));
   }
   return *slot;
@@ -106,9 +118,10 @@
 
 void links::Open(const open_connection& command) {
   const connection_id id = command.connection;
-  line_link& link =
-      *links_.emplace(id, std::make_unique<line_link>(context_, id))
-           .first->second;
+  line_link& link = *links_
+                         .emplace(id, std::make_unique<line_link>(
+                                          context_, id, command.endpoint))
+                         .first->second;
   RunAfter(command.timeout, [id, extension = StartupExtension(command.timeout)](
                                 links& self) { self.TimeOut(id, extension); });
   link.Open(TargetOf(command.endpoint),
--- a/lib/lines/line_monitor.cc
+++ b/lib/lines/line_monitor.cc
@@ -129,6 +129,10 @@
 
 void line_monitor::OnLine(const endpoint_line& line) {
   if (tasks_.empty() || !tasks_.front().sent) {
+    observer_.OnMismatchedAnswer(
+        {.endpoint = endpoint_,
+         .mismatch = shell::answer_mismatch::kUnrequested,
+         .connection_closed = true});
     FailAllTasks({});
     return;
   }
--- a/lib/lines/line_monitor.h
+++ b/lib/lines/line_monitor.h
@@ -12,6 +12,7 @@
 #include "endpoint_socket.h"
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
+#include "marjoramslip/runtime/endpoint_links.h"
 
 namespace marjoramslip::lines {
 
@@ -21,9 +22,11 @@
 class line_monitor final : private endpoint_listener {
  public:
   line_monitor(shell::event_loop& loop, const line_codec& codec,
-               endpoint_id endpoint, std::string instance)
+               shell::answer_observer& observer, endpoint_id endpoint,
+               std::string instance)
       : loop_(loop),
         codec_(codec),
+        observer_(observer),
         endpoint_(endpoint),
         instance_(std::move(instance)) {}
   ~line_monitor() override { CloseConnection(); }
@@ -77,6 +80,7 @@
 
   shell::event_loop& loop_;
   const line_codec& codec_;
+  shell::answer_observer& observer_;
   endpoint_id endpoint_;
   std::string instance_;
   endpoint_target target_;
--- a/lib/runtime/instance.cc
+++ b/lib/runtime/instance.cc
@@ -106,6 +106,7 @@
       [&] { settings_file.Reload("asked to reload"); });
   loop.SetConsumer(&running);
   edges->Front().SetObserver(&running);
+  edges->Links().SetObserver(&running);
   BOOST_LEAF_AUTO(
       server, MakeStatusServer(settings.metrics, maker.ReadyPath(), running));
   std::unique_ptr<status_server> readiness;
@@ -121,6 +122,7 @@
             Describe(edges->Front().Sessions()));
   edges->Front().CloseSessions();
   edges->Front().SetObserver(nullptr);
+  edges->Links().SetObserver(nullptr);
   running.OnLoopEnded();
   sequence.AwaitLeave();
   // Each waits up to 250 ms for its thread.
--- a/lib/runtime/metrics.cc
+++ b/lib/runtime/metrics.cc
@@ -220,6 +220,10 @@
       callers_limited_(AddCounter(registry_,
                                   "marjoramslip_callers_limited_total",
                                   "Callers refused or closed at a limit")),
+      answers_mismatched_(AddCounter(registry_,
+                                     "marjoramslip_answers_mismatched_total",
+                                     "Answers of endpoints that do not fit "
+                                     "what was sent to them")),
       caller_memory_(AddGauge(registry_, "marjoramslip_caller_memory_bytes",
                               "Memory that callers' sessions hold")),
       callers_(AddGauge(registry_, "marjoramslip_callers",
@@ -343,6 +347,11 @@
       .Increment();
 }
 
+void metrics::AnswerMismatched(answer_mismatch mismatch) {
+  answers_mismatched_.Add({{"mismatch", std::string(shell::NameOf(mismatch))}})
+      .Increment();
+}
+
 void metrics::CallerLimited(const caller_limit_hit& hit) {
   callers_limited_.Add({{"limit", std::string(shell::NameOf(hit.limit))}})
       .Increment();
--- a/lib/runtime/metrics.h
+++ b/lib/runtime/metrics.h
@@ -19,6 +19,7 @@
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/status_report.h"
 #include "marjoramslip/runtime/caller_front.h"
+#include "marjoramslip/runtime/endpoint_links.h"
 
 namespace marjoramslip::shell {
 
@@ -48,6 +49,7 @@
   void LoopTurn(duration busy);
   void SessionCut(const session_cut& cut);
   void CallerLimited(const caller_limit_hit& hit);
+  void AnswerMismatched(answer_mismatch mismatch);
   void ObserveCallerMemory(std::size_t bytes);
 
   /// Sets the gauges of callers, requests and connections.
@@ -84,6 +86,7 @@
   prometheus::Family<prometheus::Counter>& closed_seconds_;
   prometheus::Family<prometheus::Counter>& sessions_cut_;
   prometheus::Family<prometheus::Counter>& callers_limited_;
+  prometheus::Family<prometheus::Counter>& answers_mismatched_;
   prometheus::Family<prometheus::Gauge>& caller_memory_;
   prometheus::Family<prometheus::Gauge>& callers_;
   prometheus::Family<prometheus::Gauge>& connections_;
--- a/lib/runtime/runtime.cc
+++ b/lib/runtime/runtime.cc
@@ -113,6 +113,22 @@
   parts_.log.Write(log_level::kWarning, "caller.limited", text);
 }
 
+void runtime::OnMismatchedAnswer(const mismatched_answer& answer) {
+  parts_.measured.AnswerMismatched(answer.mismatch);
+  if (!TakeRequestLine()) {
+    return;
+  }
+  log_line line;
+  line.level = log_level::kWarning;
+  line.event = "answer.mismatched";
+  line.endpoint = answer.endpoint;
+  line.request = answer.request;
+  line.text = std::string(NameOf(answer.mismatch)) + ", connection " +
+              std::to_string(answer.connection.value) +
+              (answer.connection_closed ? ", closed" : ", kept");
+  parts_.log.Write(line, names_, parts_.front.NameOf(answer.request));
+}
+
 /// Callers are welcome from the first catalogue to the beginning of a drain.
 void runtime::FollowReadiness(const event& what) {
   if (std::holds_alternative<catalogue_seen>(what)) {
--- a/lib/runtime/runtime.h
+++ b/lib/runtime/runtime.h
@@ -40,6 +40,7 @@
 /// Lives on the loop's thread, but for the calls of status_source.
 class runtime final : public event_consumer,
                       public session_observer,
+                      public answer_observer,
                       public status_source {
  public:
   /// `on_drained` is called once all work is done after drain_requested.
@@ -51,6 +52,7 @@
   void OnRefusal(const session_refusal& refusal) override;
   void OnSessionCut(const session_cut& cut) override;
   void OnCallerLimited(const caller_limit_hit& hit) override;
+  void OnMismatchedAnswer(const mismatched_answer& answer) override;
 
   std::optional<std::string> Metrics() override;
   std::optional<std::string> Status() override;
