Let the platform's stand-in end lines at CR LF, and answer twice

Change: lines end at CR LF as PROTOCOL.md says; the order repeat_answers sends a share of the answers a second time, later, whole or in two parts.

--- a/tools/standin/platform/line_connection.cc
+++ b/tools/standin/platform/line_connection.cc
@@ -5,7 +5,10 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
+#include <algorithm>
 #include <charconv>
+#include <string_view>
+#include <thread>
 #include <utility>
 
 #include "../line_socket.h"
@@ -19,6 +22,8 @@
 constexpr int kReceiveBytes = 4096;
 constexpr std::size_t kMaxLine = 1U << 20U;
 constexpr auto kPoll = 20ms;
+constexpr auto kRepeatPoll = 1ms;
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr auto kStatusWork = 500us;
 
 std::uint64_t NumberOf(const std::string& text) {
@@ -80,19 +85,18 @@
 
 std::optional<std::string> line_connection::ReadLine() {
   while (true) {
-    const std::size_t end = buffer_.find('\n');
+    const std::size_t end = buffer_.find(kLineEnd);
     if (end != std::string::npos) {
       std::string line = buffer_.substr(0, end);
-      buffer_.erase(0, end + 1);
-      if (!line.empty() && line.back() == '\r') {
-        line.pop_back();
-      }
+      buffer_.erase(0, end + kLineEnd.size());
       return line;
     }
+    SendRepeats();
     if (Over() || buffer_.size() > kMaxLine) {
       return std::nullopt;
     }
-    if (!socket().poll(ToTimespan(kPoll), Poco::Net::Socket::SELECT_READ)) {
+    if (!socket().poll(ToTimespan(repeats_.empty() ? kPoll : kRepeatPoll),
+                       Poco::Net::Socket::SELECT_READ)) {
       continue;
     }
     char bytes[kReceiveBytes];
@@ -113,6 +117,32 @@
   }
 }
 
+void line_connection::SendAnswer() {
+  SendRepeats();
+  const std::string answer = std::exchange(answer_, {});
+  Send(answer);
+  if (const auto again = owner_.Faults().Draw()) {
+    repeats_.push_back(
+        {std::chrono::steady_clock::now() + again->late, again->pause, answer});
+  }
+}
+
+void line_connection::SendRepeats() {
+  const auto now = std::chrono::steady_clock::now();
+  const auto due =
+      std::stable_partition(repeats_.begin(), repeats_.end(),
+                            [now](const repeat& one) { return one.due > now; });
+  for (auto one = due; one != repeats_.end(); ++one) {
+    const std::size_t half =
+        one->pause.count() > 0 ? one->answer.size() / 2 : one->answer.size();
+    Send(one->answer.substr(0, half));
+    std::this_thread::sleep_for(one->pause);
+    Send(one->answer.substr(half));
+    owner_.Faults().Count();
+  }
+  repeats_.erase(due, repeats_.end());
+}
+
 bool line_connection::StartUp(const std::string& line) {
   const std::vector<std::string> words = SplitWords(line, 4);
   const bool named = words.size() >= 3 && words[0] == "STARTUP" &&
@@ -139,7 +169,7 @@
           ? Refuse("BADMSG", "the transaction has failed")
           : Run(id, text);
   if (done) {
-    Send("DONE " + *done + "\r\n");
+    answer_ += "DONE " + *done + "\r\n";
   } else if (state_ == state::kOpen) {
     state_ = state::kFailed;
   }
@@ -232,11 +262,12 @@
     return std::nullopt;
   }
   const line_state said = owner_.State();
-  Send("ROW " + std::string(said.primary ? "primary " : "replica ") +
-       std::to_string(said.held.term) + " " + said.received.Text() + " " +
-       std::to_string(said.paused) + " " + std::to_string(said.lag.count()) +
-       " " + std::to_string(owner_.Busy()) + " " +
-       std::to_string(owner_.Open()) + "\r\n");
+  answer_ += "ROW " + std::string(said.primary ? "primary " : "replica ") +
+             std::to_string(said.held.term) + " " + said.received.Text() + " " +
+             std::to_string(said.paused) + " " +
+             std::to_string(said.lag.count()) + " " +
+             std::to_string(owner_.Busy()) + " " +
+             std::to_string(owner_.Open()) + "\r\n";
   return "-";
 }
 
@@ -292,7 +323,7 @@
     value = written == item ? data : value;
   }
   Note(id, text, state_ == state::kIdle);
-  Send("ROW " + value + "\r\n");
+  answer_ += "ROW " + value + "\r\n";
   return "s." + id;
 }
 
@@ -320,7 +351,7 @@
 
 std::optional<std::string> line_connection::Refuse(const std::string& code,
                                                    const std::string& text) {
-  Send("ERR " + code + " " + text + "\r\n");
+  answer_ += "ERR " + code + " " + text + "\r\n";
   return std::nullopt;
 }
 
@@ -343,8 +374,9 @@
 
 void line_connection::Ready() {
   constexpr char kStates[] = {'I', 'T', 'E'};
-  Send(std::string("READY ") + kStates[static_cast<int>(state_)] + " " +
-       owner_.State().held.Text() + "\r\n");
+  answer_ += std::string("READY ") + kStates[static_cast<int>(state_)] + " " +
+             owner_.State().held.Text() + "\r\n";
+  SendAnswer();
 }
 
 void line_connection::Note(const std::string& id, const std::string& text,
--- a/tools/standin/platform/line_connection.h
+++ b/tools/standin/platform/line_connection.h
@@ -35,6 +35,10 @@
   std::optional<std::string> ReadLine();
   bool Over() const;
   void Send(const std::string& text);
+  /// Sends the answer that is complete, and again later if it is to be.
+  void SendAnswer();
+  /// Sends the repeated answers that are due, between two answers.
+  void SendRepeats();
   /// False if it was refused.
   bool StartUp(const std::string& line);
 
@@ -70,7 +74,15 @@
 
   line_server& owner_;
   std::uint64_t epoch_;
+  struct repeat {
+    steady_time due;
+    std::chrono::milliseconds pause{0};
+    std::string answer;
+  };
+
   std::string buffer_;
+  std::string answer_;  ///< Of the statement in progress, so far.
+  std::vector<repeat> repeats_;
   std::string client_;  ///< In whose name it was opened.
   state state_ = state::kIdle;
   bool read_only_ = false;
--- a/tools/standin/platform/line_server.cc
+++ b/tools/standin/platform/line_server.cc
@@ -47,11 +47,13 @@
 }
 
 line_server::line_server(line_server_options options, line_group& group,
-                         std::size_t index, run_journal& journal)
+                         std::size_t index, run_journal& journal,
+                         answer_faults& faults)
     : options_(std::move(options)),
       group_(group),
       index_(index),
       journal_(journal),
+      faults_(faults),
       slots_(options_.slots),
       threads_(2, kMaxThreads) {
   Listen(0);
--- a/tools/standin/platform/line_server.h
+++ b/tools/standin/platform/line_server.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "../counted_resource.h"
+#include "answer_faults.h"
 #include "line_group.h"
 
 namespace standin {
@@ -54,7 +55,7 @@
 class line_server {
  public:
   line_server(line_server_options options, line_group& group, std::size_t index,
-              run_journal& journal);
+              run_journal& journal, answer_faults& faults);
   ~line_server();
   line_server(const line_server&) = delete;
   line_server& operator=(const line_server&) = delete;
@@ -83,6 +84,7 @@
   line_group& Group() { return group_; }
   std::size_t Index() const { return index_; }
   run_journal& Journal() { return journal_; }
+  answer_faults& Faults() { return faults_; }
   counted_resource& Slots() { return slots_; }
   std::atomic<int>& Open() { return open_; }
   std::atomic<int>& Busy() { return busy_; }
@@ -97,6 +99,7 @@
   line_group& group_;
   std::size_t index_;
   run_journal& journal_;
+  answer_faults& faults_;
   counted_resource slots_;
   std::atomic<int> open_ = 0;
   std::atomic<int> busy_ = 0;
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -53,6 +53,7 @@
   std::chrono::milliseconds beat_;
   line_group group_;
   run_journal journal_;
+  answer_faults answer_faults_;
   std::vector<std::unique_ptr<line_server>> servers_;
   std::vector<registered> registered_;
   promotion_faults promotion_faults_;
@@ -60,12 +61,16 @@
 };
 
 platform_world::platform_world(const platform_options& options)
-    : store_(options.seed), beat_(options.beat), group_(options.group) {
+    : store_(options.seed),
+      beat_(options.beat),
+      group_(options.group),
+      answer_faults_(options.seed) {
   for (std::size_t i = 0; i < group_.Size(); ++i) {
     line_server_options one = options.database;
     one.id = one.service + "-" + std::to_string(i + 1);
     one.zone = "zone-" + std::to_string(i + 1);
-    servers_.push_back(std::make_unique<line_server>(one, group_, i, journal_));
+    servers_.push_back(std::make_unique<line_server>(one, group_, i, journal_,
+                                                     answer_faults_));
   }
   registered_.resize(group_.Size());
 }
@@ -192,6 +197,9 @@
   if (order->has("promotion")) {
     promotion_faults_.Set(ObjectsMember(order, "promotion"));
   }
+  if (const json_object repeat = ObjectMember(order, "repeat_answers")) {
+    answer_faults_.Set(repeat);
+  }
   // An entry of another writer: any key, any bytes.
   if (const json_object put = ObjectMember(order, "put")) {
     store_.Put(TextMember(put, "key"), TextMember(put, "value"));
@@ -230,6 +238,7 @@
   store_answer answer;
   answer.body->set("databases", all);
   answer.body->set("promotion_calls", calls);
+  answer.body->set("repeated_answers", answer_faults_.Repeats());
   return answer;
 }
 
