--- a/test/platform_cluster.py
+++ b/test/platform_cluster.py
@@ -84,6 +84,11 @@
         return json.loads(
             fetch(self.address, "/control/databases"))["promotion_calls"]
 
+    def repeated_answers(self):
+        """How many answers the databases have sent twice."""
+        return json.loads(
+            fetch(self.address, "/control/databases"))["repeated_answers"]
+
     def runs(self):
         """Statements that databases ran and kept, in order."""
         return json.loads(fetch(self.address, "/control/runs"))["runs"]
