End messages at CR LF only

Cause: line_splitter ended a line at LF and dropped a CR before it; the protocol ends a line at CR LF, and the last field extends to the end of the line. Change: a line ends at CR LF; a CR or LF alone belongs to it. Half a line end at the end of the buffer does not count towards the maximum length.

--- a/lib/lines/line_splitter.cc
+++ b/lib/lines/line_splitter.cc
@@ -10,6 +10,7 @@
 /// A buffer up to this size is kept once it is empty; messages of usual size
 /// stay below it.
 constexpr std::size_t kKeptBytes = 64U << 10U;
+constexpr std::string_view kLineEnd = "\r\n";
 
 }  // namespace
 
@@ -52,18 +53,18 @@
   if (overflowed_) {
     return std::nullopt;
   }
-  const std::size_t end = buffer_.find('\n', std::max(searched_, consumed_));
+  const std::size_t end =
+      buffer_.find(kLineEnd, std::max(searched_, consumed_));
   if (end == std::string::npos) {
-    searched_ = buffer_.size();
-    overflowed_ = BufferedBytes() > max_line_bytes_;
+    // A CR at the end may be the first half of a line end.
+    const bool half_end = BufferedBytes() > 0 && buffer_.back() == kLineEnd[0];
+    searched_ = buffer_.size() - (half_end ? 1 : 0);
+    overflowed_ = searched_ - consumed_ > max_line_bytes_;
     return std::nullopt;
   }
-  std::string_view line =
+  const std::string_view line =
       std::string_view(buffer_).substr(consumed_, end - consumed_);
-  if (line.ends_with('\r')) {
-    line.remove_suffix(1);
-  }
-  consumed_ = end + 1;
+  consumed_ = end + kLineEnd.size();
   searched_ = consumed_;
   if (line.size() > max_line_bytes_) {
     overflowed_ = true;
--- a/lib/lines/line_splitter.h
+++ b/lib/lines/line_splitter.h
@@ -11,7 +11,8 @@
 
 namespace marjoramslip::lines {
 
-/// Buffers received bytes and returns the complete lines in them.
+/// Buffers received bytes and returns the complete lines in them. A line ends
+/// with CR LF; a CR or LF alone is part of it.
 class line_splitter {
  public:
   /// `max_line_bytes` is the maximum length of a line without CR LF.
