Match each answer of a database to its own statement

Callers saw the rows and the signature of an earlier statement (MIXED), and a refusal or a success that was another statement's. Cause: line_link took whatever answer came next for that of the statement in progress. A database that answers twice shifts every later answer of its connection by one; the protocol gives an answer no id. Change: answer_matcher. A signed answer that was not seen before on the connection is the statement's; one that was is ignored. An error or an unsigned success could be a repetition: it is kept until fences, statements of the instance behind the statement, are answered; an answer that comes before them is the real one. An answer that fits nothing ends the connection. Reads, writes and commits need a signature; BEGIN is always fenced, in the same write.

--- a/include/marjoramslip/lines/line_codec.h
+++ b/include/marjoramslip/lines/line_codec.h
@@ -63,6 +63,10 @@
   virtual void AppendPrepare(std::string_view name, bool writes,
                              std::string_view shape,
                              std::string& out) const = 0;
+  /// Appends statements that change nothing and are answered with unsigned
+  /// successes without rows. Their answers mark a position in the stream of
+  /// answers. Returns the number of statements.
+  virtual int AppendFences(std::string& out) const = 0;
   virtual void AppendStatus(std::string& out) const = 0;
   /// Stops a replica from receiving records of terms below `term`.
   virtual void AppendHold(term_number term, std::string& out) const = 0;
--- a/include/marjoramslip/lines/line_front.h
+++ b/include/marjoramslip/lines/line_front.h
@@ -22,6 +22,7 @@
 /// control returns to the event loop.
 struct outgoing_statement {
   std::string_view id;
+  statement_kind kind = statement_kind::kRead;
   std::string_view text;
   /// The prepared statement to run with `arguments`; if null, `text` is sent.
   const prepared_statement* prepared = nullptr;
@@ -41,6 +42,8 @@
   /// of an earlier attempt.
   virtual void OnAttempt(request_id request) = 0;
   virtual void OnRow(request_id request, std::string_view line) = 0;
+  /// The rows so far belong to another answer.
+  virtual void DiscardRows(request_id request) = 0;
   /// Ends a successful answer.
   virtual void OnDone(request_id request, std::string_view signature,
                       transaction_status status) = 0;
--- a/lib/forwarding/carried_callers.cc
+++ b/lib/forwarding/carried_callers.cc
@@ -151,6 +151,7 @@
   running_statement& current = *caller.current;
   current.attempt = received.attempt();
   current.id = received.id();
+  current.kind = *kind;
   current.text = received.text();
   current.arguments = received.arguments();
   if (received.has_prepared()) {
@@ -340,6 +341,7 @@
     return false;
   }
   statement.id = current->id;
+  statement.kind = current->kind;
   statement.text = current->text;
   statement.prepared =
       current->prepared.has_value() ? &*current->prepared : nullptr;
@@ -348,7 +350,9 @@
   return true;
 }
 
-void carried_callers::OnAttempt(request_id request) {
+void carried_callers::OnAttempt(request_id request) { DiscardRows(request); }
+
+void carried_callers::DiscardRows(request_id request) {
   if (running_statement* const current = FindCurrent(request)) {
     current->answer.Clear();
     current->answer_bytes = 0;
--- a/lib/forwarding/carried_callers.h
+++ b/lib/forwarding/carried_callers.h
@@ -82,6 +82,7 @@
   bool FindStatement(request_id request, lines::outgoing_statement& statement);
   void OnAttempt(request_id request);
   void OnRow(request_id request, std::string_view line);
+  void DiscardRows(request_id request);
   void OnDone(request_id request, std::string_view signature,
               transaction_status status);
   void OnError(request_id request, std::string_view line,
@@ -99,6 +100,7 @@
   struct running_statement {
     std::uint64_t attempt = 0;
     std::string id;
+    statement_kind kind = statement_kind::kRead;
     std::string text;
     std::string arguments;
     std::optional<lines::prepared_statement> prepared;
--- a/lib/forwarding/forwarder.cc
+++ b/lib/forwarding/forwarder.cc
@@ -82,6 +82,10 @@
     IsCarried(request) ? carried_.OnRow(request, line)
                        : own_.OnRow(request, line);
   }
+  void DiscardRows(request_id request) override {
+    IsCarried(request) ? carried_.DiscardRows(request)
+                       : own_.DiscardRows(request);
+  }
   void OnDone(request_id request, std::string_view signature,
               transaction_status status) override {
     IsCarried(request) ? carried_.OnDone(request, signature, status)
--- a/lib/lines/answer_history.cc
+++ b/lib/lines/answer_history.cc
@@ -3,6 +3,7 @@
 #include "answer_history.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "marjoramslip/base/ids.h"
 
@@ -10,11 +11,14 @@
 
 bool answer_history::Add(std::string_view end) {
   const std::uint64_t hash = HashName(end);
-  if (std::find(hashes_.rbegin(), hashes_.rend(), hash) != hashes_.rend()) {
-    return true;
+  const auto found = std::find(hashes_.rbegin(), hashes_.rend(), hash);
+  const bool known = found != hashes_.rend();
+  if (known) {
+    // Errors recur; their last occurrence counts.
+    hashes_.erase(std::prev(found.base()));
   }
   hashes_.push_back(hash);
-  return false;
+  return known;
 }
 
 }  // namespace marjoramslip::lines
--- a/lib/lines/answer_history.h
+++ b/lib/lines/answer_history.h
@@ -19,8 +19,7 @@
   /// recognised for some seconds at least.
   static constexpr std::size_t kMaxEnds = 2048;
 
-  /// Returns true if an answer with this end is remembered; remembers it if
-  /// not.
+  /// Remembers the end as the newest. Returns true if it was remembered before.
   bool Add(std::string_view end);
 
  private:
--- a/lib/lines/line_front.cc
+++ b/lib/lines/line_front.cc
@@ -97,6 +97,11 @@
       session->OnRow(line);
     }
   }
+  void DiscardRows(request_id request) override {
+    if (line_session* session = Find(request)) {
+      session->DiscardRows();
+    }
+  }
   void OnDone(request_id request, std::string_view signature,
               transaction_status status) override {
     if (line_session* session = Find(request)) {
--- a/lib/lines/line_link.cc
+++ b/lib/lines/line_link.cc
@@ -8,6 +8,10 @@
 namespace marjoramslip::lines {
 namespace {
 
+/// Rounds of fences that confirm an answer that may be a repetition. Each of
+/// them makes it less likely that repeated answers to fences do so.
+constexpr int kConfirmingRounds = 2;
+
 /// Returns the endpoint state in an answer, which holds only the end of the
 /// log.
 endpoint_state StateOf(const ready_line& ready) {
@@ -75,8 +79,7 @@
 void line_link::Send(const send_statement& command) {
   request_ = command.request;
   sent_ = false;
-  ended_ = false;
-  outcome_ = answer_outcome::kSucceeded;
+  rows_passed_on_ = false;
   outgoing_statement statement;
   if (!socket_.IsOpen() ||
       !context_.exchange.FindStatement(request_, statement)) {
@@ -84,8 +87,8 @@
     return;
   }
   std::string& out = socket_.Output();
-  preceding_answers_ = memory_.ApplySession(
-      *statement.session, statement.prepared, context_.codec, out);
+  const int own = memory_.ApplySession(*statement.session, statement.prepared,
+                                       context_.codec, out);
   if (statement.prepared != nullptr) {
     context_.codec.AppendExecute(statement.id, command.required_point,
                                  statement.prepared->SharedName(),
@@ -94,78 +97,141 @@
     context_.codec.AppendStatement(statement.id, command.required_point,
                                    statement.text, out);
   }
+  // The success of a BEGIN is not signed, so it could always be a repetition.
+  const bool begins = statement.kind == statement_kind::kBegin ||
+                      statement.kind == statement_kind::kBeginRead;
+  matcher_.OnSent(statement.kind, own,
+                  begins ? context_.codec.AppendFences(out) : 0);
   context_.exchange.OnAttempt(request_);
   sent_ = true;
   socket_.Send();
 }
 
 void line_link::OnLine(const endpoint_line& line) {
+  if (!std::exchange(incoming_.begun, true)) {
+    incoming_.began_unrequested = !matcher_.IsDue();
+  }
   std::visit([this](const auto& message) { Handle(message); }, line);
 }
 
 void line_link::Handle(const row_line& row) {
-  if (preceding_answers_ > 0 || request_ == request_id{}) {
-    Reject(request_ == request_id{} ? shell::answer_mismatch::kUnrequested
-                                    : shell::answer_mismatch::kOutOfStep);
+  if (incoming_.end != answer_end::kNone) {
+    Reject(shell::answer_mismatch::kOutOfStep);
     return;
   }
-  context_.exchange.OnRow(request_, row.line);
+  incoming_.has_rows = true;
+  if (!incoming_.began_unrequested && matcher_.IsStatementDue()) {
+    rows_passed_on_ = true;
+    context_.exchange.OnRow(request_, row.line);
+  }
 }
 
 void line_link::Handle(const done_line& done) {
-  if (!done.signature.empty() && history_.Add(done.signature)) {
-    Report(shell::answer_mismatch::kRepeated, false);
-  }
-  if (preceding_answers_ > 0) {
+  if (incoming_.end != answer_end::kNone) {
+    Reject(shell::answer_mismatch::kOutOfStep);
     return;
   }
-  ended_ = true;
-  end_text_ = done.signature;
+  incoming_.end =
+      done.signature.empty() ? answer_end::kUnsigned : answer_end::kSigned;
+  incoming_.text = done.signature;
 }
 
 void line_link::Handle(const error_line& error) {
-  if (preceding_answers_ > 0) {
-    // The session's state was not applied, so the statement runs without it.
+  if (incoming_.end != answer_end::kNone) {
     Reject(shell::answer_mismatch::kOutOfStep);
     return;
   }
-  ended_ = true;
-  outcome_ = OutcomeOf(error.reason);
-  if (error.reason == endpoint_refusal::kUnknownStatement) {
-    memory_.ClearPreparedStatements();
-  }
-  end_text_ = error.line;
+  incoming_.end = answer_end::kError;
+  incoming_.text = error.line;
+  incoming_.reason = error.reason;
+}
+
+void line_link::Handle(const malformed_line& /*line*/) {
+  Reject(shell::answer_mismatch::kMalformed);
 }
 
 void line_link::Handle(const ready_line& ready) {
-  if (preceding_answers_ > 0) {
-    --preceding_answers_;
-    return;
+  const answer_use use =
+      matcher_.Match({.end = incoming_.end,
+                      .text = incoming_.text,
+                      .has_rows = incoming_.has_rows,
+                      .transaction = ready.transaction,
+                      .began_unrequested = incoming_.began_unrequested});
+  Apply(use, ready);
+}
+
+void line_link::Apply(answer_use use, const ready_line& ready) {
+  switch (use) {
+    case answer_use::kOutOfStep:
+      Reject(request_ == request_id{} ? shell::answer_mismatch::kUnrequested
+                                      : shell::answer_mismatch::kOutOfStep);
+      return;
+    case answer_use::kIgnored:
+      Report(incoming_.end == answer_end::kUnsigned
+                 ? shell::answer_mismatch::kUnsigned
+                 : shell::answer_mismatch::kRepeated,
+             false);
+      DiscardRows();
+      break;
+    case answer_use::kKept:
+      Take(ready);
+      DiscardRows();
+      break;
+    case answer_use::kOwn:
+      break;
+    case answer_use::kFinal:
+      Take(ready);
+      incoming_ = {};
+      Finish();
+      return;
+    case answer_use::kKeptIsFinal:
+      incoming_ = {};
+      Finish();
+      return;
   }
-  if (!ended_ || request_ == request_id{}) {
-    Reject(request_ == request_id{} ? shell::answer_mismatch::kUnrequested
-                                    : shell::answer_mismatch::kOutOfStep);
-    return;
+  incoming_ = {};
+  if (matcher_.NeedsFences()) {
+    SendFences();
   }
-  Finish(ready);
 }
 
-void line_link::Handle(const malformed_line& /*line*/) {
-  Reject(shell::answer_mismatch::kMalformed);
+void line_link::Take(const ready_line& ready) {
+  const bool failed = incoming_.end == answer_end::kError;
+  outcome_ = failed ? OutcomeOf(incoming_.reason) : answer_outcome::kSucceeded;
+  if (failed && incoming_.reason == endpoint_refusal::kUnknownStatement) {
+    memory_.ClearPreparedStatements();
+  }
+  end_text_ = std::move(incoming_.text);
+  ready_ = ready;
+}
+
+void line_link::DiscardRows() {
+  if (std::exchange(rows_passed_on_, false)) {
+    context_.exchange.DiscardRows(request_);
+  }
+}
+
+void line_link::SendFences() {
+  int fences = 0;
+  for (int i = 0; i < kConfirmingRounds; ++i) {
+    fences += context_.codec.AppendFences(socket_.Output());
+  }
+  matcher_.OnFencesSent(fences);
+  socket_.Send();
 }
 
-void line_link::Finish(const ready_line& ready) {
+void line_link::Finish() {
   const request_id request = std::exchange(request_, request_id{});
   if (outcome_ == answer_outcome::kSucceeded) {
-    context_.exchange.OnDone(request, end_text_, ready.transaction);
+    context_.exchange.OnDone(request, end_text_, ready_.transaction);
   } else {
-    context_.exchange.OnError(request, end_text_, ready.transaction);
+    context_.exchange.OnError(request, end_text_, ready_.transaction);
   }
   context_.loop.Post(statement_answered{.connection = id_,
                                         .request = request,
                                         .outcome = outcome_,
-                                        .transaction = ready.transaction,
-                                        .state = StateOf(ready)});
+                                        .transaction = ready_.transaction,
+                                        .state = StateOf(ready_)});
 }
 
 void line_link::Report(shell::answer_mismatch mismatch,
--- a/lib/lines/line_link.h
+++ b/lib/lines/line_link.h
@@ -3,9 +3,10 @@
 #ifndef MARJORAMSLIP_LIB_LINES_LINE_LINK_H_
 #define MARJORAMSLIP_LIB_LINES_LINE_LINK_H_
 
+#include <string>
 #include <string_view>
 
-#include "answer_history.h"
+#include "answer_matcher.h"
 #include "endpoint_socket.h"
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/core/events.h"
@@ -65,27 +66,44 @@
   void Handle(const error_line& error);
   void Handle(const ready_line& ready);
   void Handle(const malformed_line& line);
+  void Apply(answer_use use, const ready_line& ready);
+  /// Takes the answer as that of the statement, unless it has to be kept until
+  /// fences are answered.
+  void Take(const ready_line& ready);
+  void DiscardRows();
+  void SendFences();
   void Report(shell::answer_mismatch mismatch, bool connection_closed);
   /// Gives up the connection because of an answer that does not fit.
   void Reject(shell::answer_mismatch mismatch);
   void FailConnection();
-  void Finish(const ready_line& ready);
+  void Finish();
+
+  /// The answer that is being received.
+  struct incoming_answer {
+    bool begun = false;
+    bool began_unrequested = false;
+    bool has_rows = false;
+    answer_end end = answer_end::kNone;
+    std::string text;  ///< The signature, or the error line unchanged.
+    endpoint_refusal reason = endpoint_refusal::kFailed;
+  };
 
   link_context context_;
   connection_id id_;
   endpoint_id endpoint_;
   endpoint_socket socket_;
   connection_session_state memory_;
-  answer_history history_;
+  answer_matcher matcher_;
+  incoming_answer incoming_;
 
   // The statement in progress.
   request_id request_;
-  int preceding_answers_ = 0;  ///< Answers to state changes still to come
-                               ///< before the statement's own answer.
   bool sent_ = false;
-  bool ended_ = false;  ///< Its DONE or error line has arrived.
+  bool rows_passed_on_ = false;
+  // Its answer, final or kept.
   answer_outcome outcome_ = answer_outcome::kSucceeded;
-  std::string end_text_;  ///< The signature, or the error line unchanged.
+  std::string end_text_;
+  ready_line ready_;
 };
 
 }  // namespace marjoramslip::lines
--- a/lib/lines/line_session.cc
+++ b/lib/lines/line_session.cc
@@ -554,6 +554,7 @@
 
 void line_session::Describe(outgoing_statement& statement) const {
   statement.id = id_;
+  statement.kind = kind_;
   statement.text = text_;
   statement.prepared = prepared_;
   statement.arguments = arguments_;
@@ -571,6 +572,11 @@
   owner_.OnMemory(*this);
 }
 
+void line_session::DiscardRows() {
+  Free(answer_);
+  owner_.OnMemory(*this);
+}
+
 void line_session::OnDone(std::string_view signature,
                           transaction_status status) {
   owner_.Codec().AppendDone(signature, answer_);
--- a/lib/lines/line_session.h
+++ b/lib/lines/line_session.h
@@ -123,6 +123,7 @@
   void Describe(outgoing_statement& statement) const;
   void OnAttempt();
   void OnRow(std::string_view line);
+  void DiscardRows();
   void OnDone(std::string_view signature, transaction_status status);
   void OnError(std::string_view line, transaction_status status);
 
--- a/unittests/forwarding/forwarding_bench.h
+++ b/unittests/forwarding/forwarding_bench.h
@@ -46,6 +46,7 @@
   void OnRow(request_id /*request*/, std::string_view line) override {
     answer.append(line).append(";");
   }
+  void DiscardRows(request_id /*request*/) override {}
   void OnDone(request_id /*request*/, std::string_view signature,
               transaction_status /*status*/) override {
     answer.append("done ").append(signature);
--- a/unittests/lines/plain_codec.h
+++ b/unittests/lines/plain_codec.h
@@ -61,6 +61,10 @@
                      std::string_view shape, std::string& out) const override {
     out.append("prepare ").append(name).append(" ").append(shape).append(";");
   }
+  int AppendFences(std::string& out) const override {
+    out += "fence;fence;";
+    return 2;
+  }
   void AppendStatus(std::string& out) const override { out += "status;"; }
   void AppendHold(term_number term, std::string& out) const override {
     out += "hold " + std::to_string(term) + ";";
--- a/unittests/platform/line_monitor_test.cc
+++ b/unittests/platform/line_monitor_test.cc
@@ -28,6 +28,7 @@
   }
   void OnAttempt(request_id /*request*/) override {}
   void OnRow(request_id /*request*/, std::string_view /*line*/) override {}
+  void DiscardRows(request_id /*request*/) override {}
   void OnDone(request_id /*request*/, std::string_view /*signature*/,
               transaction_status /*status*/) override {}
   void OnError(request_id /*request*/, std::string_view /*line*/,
