Do not take a repeated answer for the state of an endpoint now

Cause: line_monitor counted the answers on its connection, as line_link did. Change: fences follow each task. With one answer too many before they are answered the task is sent again; an answer that nothing asked for is ignored and reported. The other tests of probes now answer the fences, and send without delay.

--- a/lib/lines/line_monitor.cc
+++ b/lib/lines/line_monitor.cc
@@ -107,57 +107,101 @@
 }
 
 void line_monitor::AppendCommand(task& queued, std::string& out) {
+  queued.answers = 1;
   switch (queued.kind) {
     case task_kind::kProbe:
       codec_.AppendStatus(out);
-      return;
+      break;
     case task_kind::kMove:
       // Works for either role: a primary steps down first, and then, like a
       // replica, receives no records of older terms.
       codec_.AppendStepDown(queued.term, out);
       codec_.AppendHold(queued.term, out);
       queued.answers = 2;
-      return;
+      break;
     case task_kind::kStepDown:
       codec_.AppendStepDown(queued.term, out);
-      return;
+      break;
     case task_kind::kResume:
       codec_.AppendResume(out);
-      return;
+      break;
   }
+  queued.fences = codec_.AppendFences(out);
 }
 
 void line_monitor::OnLine(const endpoint_line& line) {
-  if (tasks_.empty() || !tasks_.front().sent) {
-    observer_.OnMismatchedAnswer(
-        {.endpoint = endpoint_,
-         .mismatch = shell::answer_mismatch::kUnrequested,
-         .connection_closed = true});
-    FailAllTasks({});
-    return;
+  if (!std::exchange(incoming_.begun, true)) {
+    incoming_.began_unrequested = tasks_.empty() || !tasks_.front().sent;
   }
-  task& front = tasks_.front();
   if (const auto* row = std::get_if<row_line>(&line)) {
-    front.state = codec_.ParseState(row->line);
-    return;
+    incoming_.has_row = true;
+    incoming_.state = codec_.ParseState(row->line);
+  } else if (const auto* refused = std::get_if<error_line>(&line)) {
+    incoming_.refused = true;
+    incoming_.refused_full = refused->reason == endpoint_refusal::kBusy;
+  } else if (std::holds_alternative<done_line>(line)) {
+    incoming_.done = true;
+  } else if (const auto* ready = std::get_if<ready_line>(&line)) {
+    OnAnswer(*ready);
+    incoming_ = {};
   }
-  if (const auto* refused = std::get_if<error_line>(&line)) {
-    front.state.reset();
-    front.refused_full = refused->reason == endpoint_refusal::kBusy;
+}
+
+void line_monitor::OnAnswer(const ready_line& ready) {
+  const bool answers_fence =
+      incoming_.done && !incoming_.has_row && !incoming_.refused;
+  const bool answers_startup =
+      !incoming_.done && !incoming_.has_row && !incoming_.refused;
+  if (incoming_.began_unrequested || tasks_.empty() || answers_startup) {
+    Report(shell::answer_mismatch::kUnrequested);
     return;
   }
-  const auto* ready = std::get_if<ready_line>(&line);
-  if (ready == nullptr) {
-    return;
+  task& front = tasks_.front();
+  if (front.answers > 0) {
+    if (answers_fence) {
+      Report(shell::answer_mismatch::kUnsigned);
+      return;
+    }
+    --front.answers;
+    front.state = incoming_.refused ? std::nullopt : incoming_.state;
+    front.refused_full = incoming_.refused_full;
+    if (front.state && ready.end_of_log) {
+      // The position that reads see may be behind the received one.
+      front.state->position = ready.end_of_log->position;
+    }
+  } else if (answers_fence) {
+    OnFenceAnswered();
+  } else {
+    front.doubtful = true;
+    Report(shell::answer_mismatch::kOutOfStep);
   }
-  if (--front.answers > 0) {
+}
+
+void line_monitor::OnFenceAnswered() {
+  task& front = tasks_.front();
+  if (--front.fences > 0) {
     return;
   }
-  if (front.state && ready->end_of_log) {
-    // The position that reads see may be behind the received one.
-    front.state->position = ready->end_of_log->position;
+  if (front.doubtful) {
+    SendFrontAgain();
+  } else {
+    FinishFront();
   }
-  FinishFront();
+}
+
+void line_monitor::SendFrontAgain() {
+  // Its answer comes after those to the tasks that were sent meanwhile.
+  task again = tasks_.front();
+  tasks_.pop_front();
+  again.sent = false;
+  again.doubtful = false;
+  again.state.reset();
+  tasks_.push_back(again);
+  SendQueued();
+}
+
+void line_monitor::Report(shell::answer_mismatch mismatch) {
+  observer_.OnMismatchedAnswer({.endpoint = endpoint_, .mismatch = mismatch});
 }
 
 void line_monitor::FinishFront() {
--- a/lib/lines/line_monitor.h
+++ b/lib/lines/line_monitor.h
@@ -19,6 +19,10 @@
 /// Posts probe_answered or probe_failed for each probe, and endpoint_moved for
 /// each answered move. Several tasks may be outstanding; if one times out, the
 /// connection is closed and all of them fail.
+///
+/// An endpoint may send an answer again at any later time. Fences behind each
+/// task tell: with one answer too many before they are answered, it is unknown
+/// which one is the task's, and the task is sent again.
 class line_monitor final : private endpoint_listener {
  public:
   line_monitor(shell::event_loop& loop, const line_codec& codec,
@@ -56,6 +60,20 @@
     bool sent = false;
     bool refused_full = false;
     int answers = 1;  ///< Answers to come; the last one is reported.
+    int fences = 0;   ///< Answers to fences to come behind them.
+    /// One of the answers repeats an earlier one.
+    bool doubtful = false;
+    std::optional<endpoint_state> state;
+  };
+
+  /// The answer that is being received.
+  struct incoming_answer {
+    bool begun = false;
+    bool began_unrequested = false;
+    bool done = false;
+    bool refused = false;
+    bool refused_full = false;
+    bool has_row = false;
     std::optional<endpoint_state> state;
   };
 
@@ -69,7 +87,11 @@
                bool new_connection);
   void SendQueued();
   void AppendCommand(task& queued, std::string& out);
+  void OnAnswer(const ready_line& ready);
+  void OnFenceAnswered();
+  void Report(shell::answer_mismatch mismatch);
   void FinishFront();
+  void SendFrontAgain();
   void CloseWhenIdle();
   void TimeOut(std::uint64_t number);
   /// Fails all tasks and closes the connection.
@@ -86,6 +108,7 @@
   endpoint_target target_;
   std::unique_ptr<endpoint_socket> socket_;
   std::deque<task> tasks_;
+  incoming_answer incoming_;
   std::uint64_t last_number_ = 0;
   instant connected_at_{};  ///< When the connection was requested.
   instant idle_since_{};
--- a/unittests/platform/line_monitor_test.cc
+++ b/unittests/platform/line_monitor_test.cc
@@ -19,6 +19,15 @@
 
 constexpr int kTurnCount = 20;
 
+/// The answers to the fences behind a probe.
+const std::string kFencesAnswered =
+    "DONE -\r\nREADY I 1.10\r\nDONE -\r\nREADY I 1.10\r\n";
+/// Answers to a probe, by the position received.
+const std::string kState12 =
+    "ROW replica 1 1.12 0 12 2 17\r\nDONE -\r\nREADY I 1.10\r\n";
+const std::string kState15 =
+    "ROW replica 1 1.15 0 12 2 17\r\nDONE -\r\nREADY I 1.15\r\n";
+
 /// Has no statements to send.
 class no_exchange final : public statement_exchange {
  public:
@@ -74,6 +83,7 @@
                   .new_connection = true});
     RunTurns();
     accepted = server.acceptConnection();
+    accepted.setNoDelay(true);
     RunTurns();
   }
 
@@ -84,6 +94,7 @@
                  .timeout = milliseconds(400)});
     RunTurns();
     accepted = server.acceptConnection();
+    accepted.setNoDelay(true);
     RunTurns();
   }
 
@@ -150,14 +161,14 @@
   fixture.Probe();
   SECTION("an endpoint that refuses the probe as busy is full") {
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint("ERR BUSY e\r\nREADY I 1.10\r\n");
+    fixture.SendFromEndpoint("ERR BUSY e\r\nREADY I 1.10\r\n" +
+                             kFencesAnswered);
     EXPECT(fixture.TakeFailure().limit_reached);
   }
   fixture.Probe();
   SECTION("an endpoint that answers reports its positions") {
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint(
-        "ROW replica 1 1.12 0 12 2 17\r\nDONE -\r\nREADY I 1.10\r\n");
+    fixture.SendFromEndpoint(kState12 + kFencesAnswered);
     const auto answered = fixture.loop.Take<probe_answered>();
     REQUIRE(answered.has_value());
     EXPECT((answered->state.received_point == log_point{1, 12}));
@@ -216,8 +227,7 @@
   SECTION("the next probe waits for the same startup") {
     REQUIRE(!fixture.HasNewConnection());
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint(
-        "ROW replica 1 1.12 0 12 2 17\r\nDONE -\r\nREADY I 1.10\r\n");
+    fixture.SendFromEndpoint(kState12 + kFencesAnswered);
     EXPECT(fixture.loop.Take<probe_answered>().has_value());
   }
 }
@@ -233,4 +243,68 @@
   EXPECT(fixture.HasNewConnection());
 }
 
+// Guards against an old state of an endpoint that is taken for evidence of now
+// because the endpoint has answered an earlier probe twice.
+Test(line_monitor, a_repeated_answer_does_not_answer_the_next_probe) {
+  line_monitor_fixture fixture;
+  fixture.Probe();
+  fixture.SendFromEndpoint("READY I 1.10\r\n");
+  fixture.SendFromEndpoint(kState12 + kFencesAnswered);
+  REQUIRE(fixture.loop.Take<probe_answered>().has_value());
+  const auto probe_again = [&fixture] {
+    fixture.links->Probe(
+        {.endpoint = IdOf<endpoint_id>("e"), .timeout = milliseconds(250)});
+    fixture.RunTurns();
+  };
+  const auto take_position = [&fixture] {
+    const auto answered = fixture.loop.Take<probe_answered>();
+    return answered ? answered->state.received_point.position : 0;
+  };
+  SECTION("between two probes") {
+    fixture.SendFromEndpoint(kState12);
+    probe_again();
+    EXPECT(take_position() == 0);
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 15);
+  }
+  SECTION("before the answer to the next probe: it is asked again") {
+    probe_again();
+    fixture.SendFromEndpoint(kState12);
+    EXPECT(take_position() == 0);
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 0);
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 15);
+  }
+  SECTION("in part before the next probe and in part after it") {
+    fixture.SendFromEndpoint(kState12.substr(0, 30));
+    probe_again();
+    fixture.SendFromEndpoint(kState12.substr(30));
+    EXPECT(take_position() == 0);
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 15);
+  }
+  SECTION("of the startup, and of a fence") {
+    probe_again();
+    fixture.SendFromEndpoint("READY I 1.10\r\nDONE -\r\nREADY I 1.10\r\n");
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 15);
+  }
+  SECTION("an order that is answered by a probe's answer is given again") {
+    fixture.links->Move({.endpoint = IdOf<endpoint_id>("e"),
+                         .term = 3,
+                         .stop_replication = false});
+    fixture.RunTurns();
+    fixture.SendFromEndpoint(kState15);
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(!fixture.loop.Take<endpoint_moved>().has_value());
+    fixture.SendFromEndpoint(
+        "ROW replica 3 1.15 0 12 2 17\r\nDONE -\r\nREADY I 1.15\r\n" +
+        kFencesAnswered);
+    const auto moved = fixture.loop.Take<endpoint_moved>();
+    REQUIRE(moved.has_value());
+    EXPECT(moved->state.term == 3);
+  }
+}
+
 }  // namespace marjoramslip::lines
