Name shared prepared statements by a hash that callers can't construct

Cause: connections name prepared statements by the 64-bit xxHash of the shape. Two shapes with one hash are easy to construct (479 tries by a script), and a caller's EXEC then runs whichever was prepared first on the connection. Evidence: lines/applies_session_state_to_connections fails before with such a pair, and passes after; platform_path session_state passes.

--- a/lib/lines/session_state.cc
+++ b/lib/lines/session_state.cc
@@ -2,9 +2,10 @@
 
 #include "marjoramslip/lines/session_state.h"
 
-#include <algorithm>
+#include <Poco/SHA2Engine.h>
 
-#include "marjoramslip/base/ids.h"
+#include <algorithm>
+#include <cstddef>
 
 namespace marjoramslip::lines {
 namespace {
@@ -21,16 +22,15 @@
 }  // namespace
 
 std::string prepared_statement::SharedName() const {
-  // Names consist of letters and digits only, so the hash is written in
-  // base 36.
-  constexpr std::uint64_t kBase = 36;
-  constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyz";
-  std::string name(1, writes ? 'w' : 'r');
-  for (std::uint64_t remaining = HashName(shape); remaining > 0;
-       remaining /= kBase) {
-    name += kDigits[remaining % kBase];
-  }
-  return name;
+  // Callers choose the shapes, so the hash has to be one for which they can't
+  // construct two shapes with the same value. Names consist of letters and
+  // digits only.
+  constexpr std::size_t kHashBytes = 16;
+  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+  engine.update(shape);
+  Poco::DigestEngine::Digest hash = engine.digest();
+  hash.resize(kHashBytes);
+  return (writes ? "w" : "r") + Poco::DigestEngine::digestToHex(hash);
 }
 
 int connection_session_state::ApplySession(const session_state& session,
--- a/unittests/lines/lines_test.cc
+++ b/unittests/lines/lines_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "line_splitter.h"
+#include "marjoramslip/base/ids.h"
 #include "marjoramslip/lines/session_state.h"
 #include "plain_codec.h"
 #include "story.h"
@@ -122,6 +123,11 @@
     EXPECT(connection.ApplySession(second, &write, codec, out) == 1);
     EXPECT(read.SharedName() == same_read.SharedName());
     EXPECT(read.SharedName() != write.SharedName());
+    // These two have the same 64-bit xxHash.
+    const prepared_statement one{false, "q1 alphaof beta."};
+    const prepared_statement other{false, "pgk6dykbC1XqGn{9"};
+    REQUIRE(HashName(one.shape) == HashName(other.shape));
+    EXPECT(one.SharedName() != other.SharedName());
     out.clear();
     SECTION("a reset requires preparing again") {
       EXPECT(connection.ApplySession(session_state{}, &read, codec, out) == 2);
