Do not reuse an HTTP connection on which more than one response was read

Cause: a pooled connection was checked for unsolicited bytes in its socket, not for those that were read together with the last response. A response sent twice in one piece was taken for the response to the next call, of the store too. Change: a connection with bytes left in its buffer counts as stale. Evidence: http_channel/a_repeated_response_does_not_answer_the_next_call fails before and passes after. Open: a repeated response that arrives after the next request was sent can't be told from its own; HTTP/1.1 has no ids.

--- a/lib/kv/http_channel.cc
+++ b/lib/kv/http_channel.cc
@@ -63,7 +63,9 @@
 }
 
 bool http_session::IsStale() {
-  return !connected() ||
+  // What was read behind the last response is as unsolicited as what has not
+  // been read yet.
+  return !connected() || buffered() > 0 ||
          socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
--- a/unittests/kv/http_channel_test.cc
+++ b/unittests/kv/http_channel_test.cc
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <chrono>
+#include <string>
+#include <thread>
 
 #include "marjoramslip/base/attempt.h"
 #include "marjoramslip/base/clock.h"
@@ -60,4 +62,35 @@
   EXPECT(reply.Failed(error_kind::kUnavailable));
 }
 
+// Guards against the second one of two responses to a call that is taken for
+// the response to the next call.
+Test(http_channel, a_repeated_response_does_not_answer_the_next_call) {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  const std::string second =
+      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+  std::thread serving([&] {
+    std::array<char, 1024> buffer{};
+    Poco::Net::StreamSocket one = server.acceptConnection();
+    one.receiveBytes(buffer.data(), buffer.size());
+    const std::string twice = first + first;
+    one.sendBytes(twice.data(), static_cast<int>(twice.size()));
+    if (server.poll(Poco::Timespan(1, 0), Poco::Net::Socket::SELECT_READ)) {
+      Poco::Net::StreamSocket other = server.acceptConnection();
+      other.receiveBytes(buffer.data(), buffer.size());
+      other.sendBytes(second.data(), static_cast<int>(second.size()));
+    }
+  });
+  http_channel channel({{"127.0.0.1", server.address().port()}},
+                       milliseconds(2000));
+  const auto call = [&channel] {
+    const auto reply = Attempt(
+        [&] { return channel.Post("/call", "{}", request_effect::kReads); });
+    return reply ? reply->body : "failed";
+  };
+  EXPECT(call() == "first");
+  EXPECT(call() == "second");
+  serving.join();
+}
+
 }  // namespace marjoramslip::kv
