Send no field that holds a line end

Cause: messages to databases are built of texts from outside: the service and id of the registry, names of accounts, and statements that another instance has forwarded. Nothing kept CR LF out of them, and what follows it is a message of its own. Reasons of refusals, which may quote a body of the store, could forge an answer to a caller in the same way.

--- a/lib/lines/endpoint_socket.cc
+++ b/lib/lines/endpoint_socket.cc
@@ -8,9 +8,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <string>
 #include <utility>
 #include <variant>
 
+#include "framing.h"
+
 namespace marjoramslip::lines {
 namespace {
 
@@ -35,11 +38,16 @@
   } catch (const Poco::Exception&) {
     return false;
   }
+  std::string startup;
+  codec_.AppendStartup(target.service, instance, target.endpoint, startup);
+  if (CountLines(startup) != 1) {
+    // A name holds a line end; what follows it would be another message.
+    return false;
+  }
   input_.emplace(kMaxLineBytes);
   connection_.emplace(loop_, socket, kWriteStallTimeout,
                       static_cast<shell::connection_user&>(*this));
-  codec_.AppendStartup(target.service, instance, target.endpoint,
-                       connection_->Output());
+  connection_->Output().append(startup);
   connection_->Schedule();
   return true;
 }
--- a/lib/lines/line_link.cc
+++ b/lib/lines/line_link.cc
@@ -2,9 +2,12 @@
 
 #include "line_link.h"
 
+#include <cstddef>
 #include <utility>
 #include <variant>
 
+#include "framing.h"
+
 namespace marjoramslip::lines {
 namespace {
 
@@ -87,6 +90,7 @@
     return;
   }
   std::string& out = socket_.Output();
+  const std::size_t begin = out.size();
   const int own = memory_.ApplySession(*statement.session, statement.prepared,
                                        context_.codec, out);
   if (statement.prepared != nullptr) {
@@ -100,8 +104,14 @@
   // The success of a BEGIN is not signed, so it could always be a repetition.
   const bool begins = statement.kind == statement_kind::kBegin ||
                       statement.kind == statement_kind::kBeginRead;
-  matcher_.OnSent(statement.kind, own,
-                  begins ? context_.codec.AppendFences(out) : 0);
+  const int fences = begins ? context_.codec.AppendFences(out) : 0;
+  if (CountLines(std::string_view(out).substr(begin)) != own + 1 + fences) {
+    // A field holds a line end; what follows it would be another message.
+    out.resize(begin);
+    FailConnection();
+    return;
+  }
+  matcher_.OnSent(statement.kind, own, fences);
   context_.exchange.OnAttempt(request_);
   sent_ = true;
   socket_.Send();
--- a/lib/lines/line_splitter.cc
+++ b/lib/lines/line_splitter.cc
@@ -4,13 +4,14 @@
 
 #include <algorithm>
 
+#include "framing.h"
+
 namespace marjoramslip::lines {
 namespace {
 
 /// A buffer up to this size is kept once it is empty; messages of usual size
 /// stay below it.
 constexpr std::size_t kKeptBytes = 64U << 10U;
-constexpr std::string_view kLineEnd = "\r\n";
 
 }  // namespace
 
--- a/unittests/platform/line_front_test.cc
+++ b/unittests/platform/line_front_test.cc
@@ -145,6 +145,17 @@
                 sqlstate::kOutcomeUnknown) ==
            "ERR INDOUBT so\r\nREADY I -\r\n");
   }
+  SECTION("a reason with a line end does not forge an answer") {
+    caller.Send("QUERY 8 READ a\r\n");
+    caller.Receive();
+    const statement_received read = fixture.TakeStatement();
+    fixture.front->Fail({read.caller,
+                         read.request,
+                         {verdict::kNotRun, sqlstate::kOverloaded,
+                          "HTTP 503: a\r\nDONE s.forged"}});
+    EXPECT(caller.Receive() ==
+           "ERR BUSY HTTP 503: a  DONE s.forged\r\nREADY I -\r\n");
+  }
   SECTION("a route that was removed") {
     EXPECT(fail("QUERY 3 READ a\r\n", verdict::kNotRun,
                 sqlstate::kUnknownService) == "ERR NODB so\r\nREADY I -\r\n");
--- a/unittests/platform/line_monitor_test.cc
+++ b/unittests/platform/line_monitor_test.cc
@@ -243,6 +243,23 @@
   EXPECT(fixture.HasNewConnection());
 }
 
+// Guards against names of the registry and of accounts that smuggle a statement
+// into the startup.
+Test(line_links, a_name_with_a_line_end_is_not_sent) {
+  line_monitor_fixture fixture;
+  fixture.links->Open({.connection = connection_id{1},
+                       .endpoint = IdOf<endpoint_id>("e"),
+                       .timeout = milliseconds(400),
+                       .account = "a\r\nQUERY - RESET"});
+  fixture.RunTurns();
+  EXPECT(fixture.loop.Take<connection_refused>().has_value());
+  if (fixture.HasNewConnection()) {
+    fixture.accepted = fixture.server.acceptConnection();
+    fixture.RunTurns();
+    EXPECT(fixture.accepted.available() == 0);
+  }
+}
+
 // Guards against an old state of an endpoint that is taken for evidence of now
 // because the endpoint has answered an earlier probe twice.
 Test(line_monitor, a_repeated_answer_does_not_answer_the_next_probe) {
