Test repeated answers to abandoned statements and at carriers

Change: two scenarios of platform_messages.py; the second one with line feeds, through instances that forward statements.

--- a/test/platform_messages.py
+++ b/test/platform_messages.py
@@ -13,6 +13,8 @@
 sys.dont_write_bytecode = True
 
 from line_client import Refused, Session  # noqa: E402
+from platform_carriers import (  # noqa: E402
+    CONNECTIONS, INSTANCES, CarrierCluster, others, settled)
 from platform_cluster import (  # noqa: E402
     PRIMARY, SERVICE, PlatformCluster, run_scenario)
 from platform_path import (  # noqa: E402
@@ -91,36 +93,43 @@
     """A session whose statements and answers are recorded."""
 
     def __init__(self, address, name, record):
-        self._record = record
+        self.record = record
         super().__init__(address, name)
 
     def ask(self, text):
         ident = f"{next(self._numbers):016x}"
-        self._record.add(ident, text)
+        self.record.add(ident, text)
         try:
             self._send(f"QUERY {ident} {text}")
             rows, done = self._answer()
         except Refused as refused:
-            self._record.fail(ident, refused.code)
+            self.record.fail(ident, refused.code)
             raise
         except OSError:
-            self._record.fail(ident, "")
+            self.record.fail(ident, "")
             raise
-        self._record.succeed(ident, text, done)
+        self.record.succeed(ident, text, done)
         return rows, done
 
+    def abandon(self, text):
+        """Sends a statement and does not wait for its answer."""
+        ident = f"{next(self._numbers):016x}"
+        self.record.add(ident, text)
+        self._send(f"QUERY {ident} {text}")
+        self.close()
+
     def write_and_read(self, write, read, data):
         """A read must return what the session has written just before."""
         self.ask(f"{write} {data}")
         rows, _ = self.ask(read)
-        self._record.read(read, rows, data)
+        self.record.read(read, rows, data)
 
 
-def run_callers(cluster, record, work):
+def run_callers(instances, record, work):
     """Runs `work(session, caller, step)` in several callers at a time. Callers
     whose session ends open another."""
     def call(caller):
-        address = cluster.instances[caller % len(cluster.instances)].address
+        address = instances[caller % len(instances)].address
         session = None
         for step in range(STATEMENTS_OF_A_CALLER):
             try:
@@ -165,7 +174,7 @@
 def nothing_unusual(cluster):
     """Plain messages, no answer twice: nothing else crosses answers."""
     record = Record(cluster)
-    run_callers(cluster, record, write_and_read(plain))
+    run_callers(cluster.instances, record, write_and_read(plain))
     record.judge()
 
 
@@ -180,7 +189,7 @@
         session.write_and_read(f"EXEC s1 p{caller}x{step}",
                                f"READ p{caller}x{step}",
                                line_feeds(caller, step))
-    run_callers(cluster, record, work)
+    run_callers(cluster.instances, record, work)
     record.judge()
 
 
@@ -196,23 +205,23 @@
         text = f"READ r{caller}x{step}"
         rows, _ = session.ask(text)
         record.read(text, rows, line_feeds(caller, step))
-    run_callers(cluster, record, work)
+    run_callers(cluster.instances, record, work)
     record.judge()
 
 
 def carriage_returns(cluster):
     """A lone carriage return is part of the data."""
     record = Record(cluster)
-    run_callers(cluster, record, write_and_read(
+    run_callers(cluster.instances, record, write_and_read(
         lambda caller, step: f"\ra{caller}\rb{step}\r"))
     record.judge()
 
 
-def with_repeated_answers(cluster, work):
+def with_repeated_answers(cluster, work, instances=None):
     """Judges `work` while databases send some answers twice."""
     record = Record(cluster)
     cluster.platform.order(repeat_answers=REPEATED)
-    run_callers(cluster, record, work)
+    run_callers(instances or cluster.instances, record, work)
     repeated = cluster.platform.repeated_answers()
     print(f"    {repeated} answers were sent twice")
     expect(repeated >= LEAST_REPEATED, "too few answers were sent twice")
@@ -253,6 +262,25 @@
                f"PINNED: {run['text']!r} ran with {run['owner']!r}")
 
 
+def repeated_answers_to_abandoned_statements(cluster):
+    """Nor is an answer whose caller has left."""
+    address = cluster.instances[0].address
+
+    def work(session, caller, step):
+        leaver = RecordedSession(address, PRIMARY, session.record)
+        leaver.abandon(f"READ w{caller}x{step}" if step % 2 else
+                       f"WRITE left{caller}x{step} value")
+        write_and_read(plain)(session, caller, step)
+    with_repeated_answers(cluster, work)
+
+
+def repeated_answers_at_carriers(cluster):
+    """Nor where statements are forwarded; line feeds pass there, too."""
+    carriers = settled(cluster)
+    with_repeated_answers(cluster, write_and_read(line_feeds),
+                          others(cluster, carriers))
+
+
 def primaries_change_while_answers_repeat(cluster):
     """A repeated answer to a probe or an order is not evidence of now."""
     cluster.platform.order(repeat_answers=REPEATED)
@@ -271,10 +299,15 @@
     nothing_unusual, line_feeds_in_statements, line_feeds_in_rows,
     carriage_returns, repeated_answers, repeated_answers_in_transactions,
     repeated_answers_around_session_state,
+    repeated_answers_to_abandoned_statements, repeated_answers_at_carriers,
     primaries_change_while_answers_repeat)
 
 
 def run(scenario, build):
+    if scenario is repeated_answers_at_carriers:
+        return run_scenario(scenario, CarrierCluster(
+            build, instances=INSTANCES,
+            platform_options={"connections": CONNECTIONS}))
     return run_scenario(scenario, PlatformCluster(build))
 
 
