Let the soak judge signatures, rows and what databases ran

Change: shutdown_soak.py checks that each success has the signature and rows of its own statement and that databases ran only what was sent, while they send up to a fifth of their answers twice and a quarter of the values hold line feeds.

--- a/test/shutdown_soak.py
+++ b/test/shutdown_soak.py
@@ -2,12 +2,14 @@
 """Random last moments: instances on the platform's stand-in are stopped,
 stopped twice, restarted, reloaded and configured in series and beside each
 other, while callers connect, wait, send ahead, send in pieces, read slowly and
-keep using open connections until they end.
+keep using open connections until they end. Databases send some answers twice,
+and some data hold line feeds.
 
 Every statement that was sent whole must be answered, unless its connection
 ended within 200 ms of its last byte and no database ran it; what was accepted
 ran once, what was refused as not run never did; every process that was asked
-to end ends by itself, in time.
+to end ends by itself, in time. Each success has its own signature and rows, and
+databases run only what was sent.
 
 Usage: shutdown_soak.py [--build FOLDER] [--seed N] [--runs N] [--seconds N]
                         [--callers N] [--instances N]
@@ -40,6 +42,8 @@
 LARGE_ITEM, LARGE_BYTES = "large", 200_000
 # A start that finds a port taken is tried again, after a look this much later.
 STARTS, START_LOOK_S, TAKEN = 20, 0.3, "Address already in use"
+# How many of their answers databases send twice.
+REPEATED_SHARES = (0.0, 0.05, 0.2)
 # Exit code of a process that was asked to end a second time.
 CUT_OFF = 1
 
@@ -47,8 +51,10 @@
 class Statement:
     """One statement of a caller and what became of it."""
 
-    def __init__(self, text, sent):
+    def __init__(self, ident, text, sent):
+        self.ident = ident
         self.text = text
+        self.rows, self.signature = [], ""
         self.sent = sent
         self.code = ""      # of the answer; "DONE" if it succeeded
         self.lost_after = None  # seconds from its last byte to the end
@@ -66,17 +72,19 @@
         self._open = []     # statements without an answer, None: the startup
         self._taken = 0     # lines that were looked at
         self._code = "DONE"
+        self._rows, self._signature = [], ""
 
     def startup(self, name):
         self._open.append(None)
         return f"STARTUP {name} soak"
 
-    def add(self, text):
+    def add(self, text, line=None):
         """A line for the statement, which counts as sent from now on."""
-        statement = Statement(text, time.monotonic())
+        line = line or RawCaller.statement(text)
+        statement = Statement(line.split(" ")[1], text, time.monotonic())
         self._open.append(statement)
         self._records.append(statement)
-        return RawCaller.statement(text)
+        return line
 
     def sent_now(self):
         """The last bytes have left: their age counts from here."""
@@ -112,14 +120,26 @@
                 if self._open and self._open[0] is None:
                     self._open.pop(0)  # a startup that was refused
                     continue
+            if word(line) == "ROW":
+                self._rows.append(line.partition(" ")[2])
+            if word(line) == "DONE":
+                self._signature = line.partition(" ")[2]
             if word(line) == READY:
                 done = self._open.pop(0) if self._open else None
                 if done:
                     done.code = self._code
+                    done.rows, done.signature = self._rows, self._signature
                 self._code = "DONE"
+                self._rows, self._signature = [], ""
         self._taken = len(self.caller.lines)
 
 
+def value_of(number):
+    """What is written to an item; some values look like another message."""
+    smuggled = f"\nQUERY smuggled{number} WRITE other {number}"
+    return f"value-{number}" + (smuggled if number % 4 == 0 else "")
+
+
 class Soak:
     """One run: the cluster, its callers and what is done to it."""
 
@@ -143,7 +163,7 @@
         with self._lock:
             number = next(self._numbers)
         if dice.random() < 0.4:
-            return f"WRITE soak-{number} value-{number}"
+            return f"WRITE soak-{number} {value_of(number)}"
         return f"READ soak-{dice.randrange(1, number + 1)}"
 
     def _connect(self, dice):
@@ -201,13 +221,14 @@
         if not talk.await_answers():
             return
         text = self._text(dice)
-        line = RawCaller.statement(text).encode() + b"\r\n"
+        statement = RawCaller.statement(text)
+        line = statement.encode() + b"\r\n"
         whole = len(line) - 1
         for start in range(0, whole, 8):
             if not talk.caller.send_bytes(line[start:min(start + 8, whole)]):
                 return
             time.sleep(dice.random() * 0.1)
-        talk.add(text)
+        talk.add(text, statement)
         talk.caller.send_bytes(line[whole:])
         talk.sent_now()
         talk.await_answers()
@@ -320,6 +341,9 @@
     def _disturb_all(self, seed):
         dice = random.Random(seed)
         while not self._over.wait(dice.random() * 3.0):
+            self.cluster.platform.order(repeat_answers={
+                "share": dice.choice(REPEATED_SHARES),
+                "least_ms": 2, "most_ms": 80})
             self._configure(dice)
 
     def _complain(self, text):
@@ -351,9 +375,12 @@
 
     def _judge(self):
         ran = {}
-        for each in self.cluster.platform.runs():
+        runs = self.cluster.platform.runs()
+        self._judge_runs(runs)
+        for each in runs:
             ran[each["text"]] = ran.get(each["text"], 0) + 1
         for each in self._records:
+            self._judge_answer(each)
             is_write = each.text.startswith("WRITE soak")
             count = ran.get(each.text, 0) if is_write else 0
             if count > 1:
@@ -371,12 +398,37 @@
             elif count:
                 self._complain(f"LOST: '{each.text}' ran and has no answer")
 
+    def _judge_answer(self, statement):
+        """A success is signed for its statement and has the rows of its item."""
+        if statement.code != "DONE" or statement.text in ("BEGIN", "ROLLBACK"):
+            return
+        if statement.signature != f"s.{statement.ident}":
+            self._complain(f"MIXED: '{statement.text}' ({statement.ident}) is "
+                           f"signed '{statement.signature}'")
+        kind, item = statement.text.split(" ")[:2] if " " in statement.text \
+            else (statement.text, "")
+        if kind != "READ" or item == LARGE_ITEM:
+            return
+        if statement.rows not in ([""], [value_of(int(item.split("-")[1]))]):
+            self._complain(f"MIXED: '{statement.text}' read {statement.rows}")
+
+    def _judge_runs(self, runs):
+        sent = {each.ident: each.text for each in self._records}
+        for run in runs:
+            known = run["id"] == "-" or not run["id"].startswith(
+                ("raw", "smuggled")) or sent.get(run["id"]) == run["text"]
+            if not known:
+                self._complain(f"UNASKED: {run['text']!r}, sent "
+                               f"{sent.get(run['id'])!r}")
+
     def summary(self):
         codes = {}
         for each in self._records:
             key = each.code or "crossed the end"
             codes[key] = codes.get(key, 0) + 1
-        return f"{self.ended} ends, {len(self._records)} statements: {codes}"
+        repeated = self.cluster.platform.repeated_answers()
+        return (f"{self.ended} ends, {repeated} answers sent twice, "
+                f"{len(self._records)} statements: {codes}")
 
 
 def main():
