Forget the part of an answer with its connection

Cause: line_monitor assembled the answers of successive connections in one place, so a part that came unasked before a connection ended made the first answer on the next one count as unasked, and the probe timed out. Change: the part ends with its connection.

--- a/lib/lines/line_monitor.cc
+++ b/lib/lines/line_monitor.cc
@@ -285,6 +285,7 @@
   if (socket_ == nullptr) {
     return;
   }
+  incoming_ = {};
   socket_->Close();
   // The socket may be on the call stack; it is destroyed in the next turn.
   loop_.After(duration{0},
--- a/unittests/platform/line_monitor_test.cc
+++ b/unittests/platform/line_monitor_test.cc
@@ -307,6 +307,16 @@
     fixture.SendFromEndpoint(kState15 + kFencesAnswered);
     EXPECT(take_position() == 15);
   }
+  SECTION("an answer that breaks off is not continued on another connection") {
+    fixture.SendFromEndpoint(kState12.substr(0, 30));
+    fixture.accepted.close();
+    fixture.RunTurns();
+    fixture.loop.ForgetPosted();
+    fixture.Probe();
+    fixture.SendFromEndpoint("READY I 1.10\r\n");
+    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    EXPECT(take_position() == 15);
+  }
   SECTION("an order that is answered by a probe's answer is given again") {
     fixture.links->Move({.endpoint = IdOf<endpoint_id>("e"),
                          .term = 3,
