Accept a refused COMMIT that leaves its transaction open

Found by reading the matching of answers again; not seen by callers. Cause: answer_matcher expected a refused COMMIT or ROLLBACK to leave the transaction, which PROTOCOL.md doesn't say; the connection would have ended, and a COMMIT that was refused as not run been reported as of unknown outcome. Change: only a signed COMMIT has to leave it.

--- a/lib/lines/answer_matcher.cc
+++ b/lib/lines/answer_matcher.cc
@@ -54,14 +54,12 @@
 }
 
 bool answer_matcher::Fits(const whole_answer& answer) const {
-  if (answer.end == answer_end::kUnsigned) {
-    // May answer a fence.
-    return true;
-  }
-  const bool ends = kind_ == statement_kind::kCommit || RollsBack();
-  const bool stays_idle = transaction_ == transaction_status::kIdle &&
-                          (answer.end == answer_end::kError || !IsBegin(kind_));
-  return !(ends || stays_idle) ||
+  const bool is_signed = answer.end == answer_end::kSigned;
+  const bool commits = is_signed && kind_ == statement_kind::kCommit;
+  const bool stays_idle =
+      transaction_ == transaction_status::kIdle &&
+      (is_signed ? !IsBegin(kind_) : answer.end == answer_end::kError);
+  return !(commits || stays_idle) ||
          answer.transaction == transaction_status::kIdle;
 }
 
