--- a/include/marjoramslip/lines/line_codec.h
+++ b/include/marjoramslip/lines/line_codec.h
@@ -66,7 +66,7 @@
   /// Appends statements that change nothing and are answered with unsigned
   /// successes without rows. Their answers mark a position in the stream of
   /// answers. Returns the number of statements.
-  virtual int AppendFences(std::string& out) const = 0;
+  virtual int AppendMarkers(std::string& out) const = 0;
   virtual void AppendStatus(std::string& out) const = 0;
   /// Stops a replica from receiving records of terms below `term`.
   virtual void AppendHold(term_number term, std::string& out) const = 0;
--- a/lib/lines/answer_matcher.cc
+++ b/lib/lines/answer_matcher.cc
@@ -1,4 +1,4 @@
-// Matching of answers to statements by their ends and by fences.
+// Matching of answers to statements by their ends and by markers.
 
 #include "answer_matcher.h"
 
@@ -13,21 +13,21 @@
 
 }  // namespace
 
-void answer_matcher::OnSent(statement_kind kind, int own, int fences) {
+void answer_matcher::OnSent(statement_kind kind, int own, int markers) {
   in_progress_ = true;
   kind_ = kind;
   own_due_ += own;
-  fences_ = fences;
-  fences_due_ = fences;
-  behind_fences_ = 0;
+  markers_ = markers;
+  markers_due_ = markers;
+  behind_markers_ = 0;
   doubtful_ = false;
   confirming_ = false;
   kept_.reset();
 }
 
-void answer_matcher::OnFencesSent(int fences) {
-  fences_ += fences;
-  fences_due_ += fences;
+void answer_matcher::OnMarkersSent(int markers) {
+  markers_ += markers;
+  markers_due_ += markers;
   confirming_ = true;
 }
 
@@ -47,7 +47,7 @@
   if (!Fits(answer)) {
     return known ? Ignore() : answer_use::kOutOfStep;
   }
-  const bool all_may_have_come = fences_ > 0 && ++behind_fences_ > fences_;
+  const bool all_may_have_come = markers_ > 0 && ++behind_markers_ > markers_;
   const answer_use use = MatchStatement(answer, known);
   // Nothing more may come, so the statement would wait in vain.
   return in_progress_ && all_may_have_come ? answer_use::kOutOfStep : use;
@@ -86,11 +86,11 @@
 }
 
 answer_use answer_matcher::MatchOwn(const whole_answer& answer, bool known) {
-  const bool refuses_fence = trailing_due_ > 0 &&
-                             transaction_ == transaction_status::kFailed &&
-                             answer.end == answer_end::kError &&
-                             answer.transaction == transaction_status::kFailed;
-  if (refuses_fence) {
+  const bool refuses_marker = trailing_due_ > 0 &&
+                              transaction_ == transaction_status::kFailed &&
+                              answer.end == answer_end::kError &&
+                              answer.transaction == transaction_status::kFailed;
+  if (refuses_marker) {
     --trailing_due_;
     --own_due_;
     return answer_use::kOwn;
@@ -108,15 +108,15 @@
 
 answer_use answer_matcher::MatchError(const whole_answer& answer, bool known) {
   if (known && RollsBack()) {
-    // Whether it ran shows in the transaction status of the fences' answers.
+    // Whether it ran shows in the transaction status of the markers' answers.
     return Ignore();
   }
   if (!kept_) {
     return known ? Keep(answer)
-                 : End(answer_use::kFinal, answer.transaction, fences_);
+                 : End(answer_use::kFinal, answer.transaction, markers_);
   }
   if (kept_->end == answer_end::kUnsigned) {
-    // Either the kept success is a repetition, or a fence was refused.
+    // Either the kept success is a repetition, or a marker was refused.
     return answer_use::kOutOfStep;
   }
   if (kept_->text == answer.text) {
@@ -125,36 +125,36 @@
     return kept_->transaction == answer.transaction ? Ignore()
                                                     : answer_use::kOutOfStep;
   }
-  // Fences are refused in a failed transaction.
-  const bool refuses_fence =
+  // Markers are refused in a failed transaction.
+  const bool refuses_marker =
       kept_->transaction == transaction_status::kFailed &&
       answer.transaction == transaction_status::kFailed;
-  if (refuses_fence && fences_due_ > 0) {
-    return OnFenceAnswered();
+  if (refuses_marker && markers_due_ > 0) {
+    return OnMarkerAnswered();
   }
   return known ? answer_use::kOutOfStep
-               : End(answer_use::kFinal, answer.transaction, fences_);
+               : End(answer_use::kFinal, answer.transaction, markers_);
 }
 
 answer_use answer_matcher::MatchSigned(bool known,
                                        transaction_status transaction) {
-  return known ? Ignore() : End(answer_use::kFinal, transaction, fences_);
+  return known ? Ignore() : End(answer_use::kFinal, transaction, markers_);
 }
 
 answer_use answer_matcher::MatchUnsigned(transaction_status transaction) {
-  // Fences do not change the transaction.
+  // Markers do not change the transaction.
   if (kept_ && kept_->transaction == transaction) {
-    return fences_due_ > 0 ? OnFenceAnswered() : answer_use::kOutOfStep;
+    return markers_due_ > 0 ? OnMarkerAnswered() : answer_use::kOutOfStep;
   }
   if (IsBegin(kind_) && transaction == transaction_status::kOpen) {
     kept_ = kept_answer{answer_end::kUnsigned, {}, transaction};
     return answer_use::kKept;
   }
   if (RollsBack() && transaction == transaction_status::kIdle) {
-    return End(answer_use::kFinal, transaction, fences_);
+    return End(answer_use::kFinal, transaction, markers_);
   }
-  // Repeats an answer to a statement of the instance, or answers a fence.
-  if (!kept_ && fences_due_ > 0 && --fences_due_ == 0) {
+  // Repeats an answer to a statement of the instance, or answers a marker.
+  if (!kept_ && markers_due_ > 0 && --markers_due_ == 0) {
     return answer_use::kOutOfStep;
   }
   return Ignore();
@@ -177,8 +177,8 @@
   return answer_use::kKept;
 }
 
-answer_use answer_matcher::OnFenceAnswered() {
-  if (--fences_due_ > 0) {
+answer_use answer_matcher::OnMarkerAnswered() {
+  if (--markers_due_ > 0) {
     return answer_use::kOwn;
   }
   return End(answer_use::kKeptIsFinal, kept_->transaction, 0);
@@ -189,8 +189,8 @@
   in_progress_ = false;
   own_due_ = own_due;
   trailing_due_ = own_due;
-  fences_ = 0;
-  fences_due_ = 0;
+  markers_ = 0;
+  markers_due_ = 0;
   doubtful_ = false;
   kept_.reset();
   transaction_ = transaction;
--- a/lib/lines/answer_matcher.h
+++ b/lib/lines/answer_matcher.h
@@ -47,23 +47,25 @@
 /// gives an answer no id.
 ///
 /// A signed answer that was not seen before is the one to the statement in
-/// progress. Any other could repeat an earlier one. Fences tell: statements of
+/// progress. Any other could repeat an earlier one. Markers tell: statements of
 /// the instance that are sent behind the statement. The answer to the statement
 /// is on the stream once they are answered, so an answer that was kept is the
 /// statement's if there is no other by then.
 ///
 /// Two faults at once remain: a repeated answer that is kept is mistaken for
 /// the statement's if as many repeated answers to statements of the instance as
-/// there are fences come between it and the real one.
+/// there are markers come between it and the real one.
 class answer_matcher {
  public:
   /// A statement was sent behind `own` statements of the instance, with
-  /// `fences` behind it. There must be none in progress.
-  void OnSent(statement_kind kind, int own, int fences);
-  /// Fences were sent behind the statement in progress.
-  void OnFencesSent(int fences);
-  /// True if fences have to be sent behind the statement in progress.
-  bool NeedsFences() const { return in_progress_ && doubtful_ && !confirming_; }
+  /// `markers` behind it. There must be none in progress.
+  void OnSent(statement_kind kind, int own, int markers);
+  /// Markers were sent behind the statement in progress.
+  void OnMarkersSent(int markers);
+  /// True if markers have to be sent behind the statement in progress.
+  bool NeedsMarkers() const {
+    return in_progress_ && doubtful_ && !confirming_;
+  }
 
   answer_use Match(const whole_answer& answer);
 
@@ -84,7 +86,7 @@
   bool RollsBack() const;
   answer_use Ignore();
   answer_use Keep(const whole_answer& answer);
-  answer_use OnFenceAnswered();
+  answer_use OnMarkerAnswered();
   answer_use End(answer_use use, transaction_status transaction, int own_due);
 
   /// An answer that may repeat an earlier one.
@@ -101,14 +103,14 @@
   transaction_status transaction_ = transaction_status::kIdle;
   /// Answers to statements of the instance that are due before the statement's.
   int own_due_ = 0;
-  int trailing_due_ = 0;  ///< Those to fences of the statement before.
-  int fences_ = 0;        ///< Sent behind the statement in progress.
-  int fences_due_ = 0;    ///< Those that are not answered.
-  /// Answers since fences were sent, not counting those to `own_due_`.
-  int behind_fences_ = 0;
-  /// An answer was kept or ignored that fences have to decide on.
+  int trailing_due_ = 0;  ///< Those to markers of the statement before.
+  int markers_ = 0;       ///< Sent behind the statement in progress.
+  int markers_due_ = 0;   ///< Those that are not answered.
+  /// Answers since markers were sent, not counting those to `own_due_`.
+  int behind_markers_ = 0;
+  /// An answer was kept or ignored that markers have to decide on.
   bool doubtful_ = false;
-  bool confirming_ = false;  ///< These fences were sent.
+  bool confirming_ = false;  ///< These markers were sent.
   std::optional<kept_answer> kept_;
 };
 
--- a/lib/lines/line_link.cc
+++ b/lib/lines/line_link.cc
@@ -11,8 +11,8 @@
 namespace marjoramslip::lines {
 namespace {
 
-/// Rounds of fences that confirm an answer that may be a repetition. Each of
-/// them makes it less likely that repeated answers to fences do so.
+/// Rounds of markers that confirm an answer that may be a repetition. Each of
+/// them makes it less likely that repeated answers to markers do so.
 constexpr int kConfirmingRounds = 2;
 
 /// Returns the endpoint state in an answer, which holds only the end of the
@@ -104,14 +104,14 @@
   // The success of a BEGIN is not signed, so it could always be a repetition.
   const bool begins = statement.kind == statement_kind::kBegin ||
                       statement.kind == statement_kind::kBeginRead;
-  const int fences = begins ? context_.codec.AppendFences(out) : 0;
-  if (CountLines(std::string_view(out).substr(begin)) != own + 1 + fences) {
+  const int markers = begins ? context_.codec.AppendMarkers(out) : 0;
+  if (CountLines(std::string_view(out).substr(begin)) != own + 1 + markers) {
     // A field holds a line end; what follows it would be another message.
     out.resize(begin);
     FailConnection();
     return;
   }
-  matcher_.OnSent(statement.kind, own, fences);
+  matcher_.OnSent(statement.kind, own, markers);
   context_.exchange.OnAttempt(request_);
   sent_ = true;
   socket_.Send();
@@ -200,8 +200,8 @@
       return;
   }
   incoming_ = {};
-  if (matcher_.NeedsFences()) {
-    SendFences();
+  if (matcher_.NeedsMarkers()) {
+    SendMarkers();
   }
 }
 
@@ -221,12 +221,12 @@
   }
 }
 
-void line_link::SendFences() {
-  int fences = 0;
+void line_link::SendMarkers() {
+  int markers = 0;
   for (int i = 0; i < kConfirmingRounds; ++i) {
-    fences += context_.codec.AppendFences(socket_.Output());
+    markers += context_.codec.AppendMarkers(socket_.Output());
   }
-  matcher_.OnFencesSent(fences);
+  matcher_.OnMarkersSent(markers);
   socket_.Send();
 }
 
--- a/lib/lines/line_link.h
+++ b/lib/lines/line_link.h
@@ -68,10 +68,10 @@
   void Handle(const malformed_line& line);
   void Apply(answer_use use, const ready_line& ready);
   /// Takes the answer as that of the statement, unless it has to be kept until
-  /// fences are answered.
+  /// markers are answered.
   void Take(const ready_line& ready);
   void DiscardRows();
-  void SendFences();
+  void SendMarkers();
   void Report(shell::answer_mismatch mismatch, bool connection_closed);
   /// Gives up the connection because of an answer that does not fit.
   void Reject(shell::answer_mismatch mismatch);
--- a/lib/lines/line_monitor.cc
+++ b/lib/lines/line_monitor.cc
@@ -126,7 +126,7 @@
       codec_.AppendResume(out);
       break;
   }
-  queued.fences = codec_.AppendFences(out);
+  queued.markers = codec_.AppendMarkers(out);
 }
 
 void line_monitor::OnLine(const endpoint_line& line) {
@@ -148,7 +148,7 @@
 }
 
 void line_monitor::OnAnswer(const ready_line& ready) {
-  const bool answers_fence =
+  const bool answers_marker =
       incoming_.done && !incoming_.has_row && !incoming_.refused;
   const bool answers_startup =
       !incoming_.done && !incoming_.has_row && !incoming_.refused;
@@ -158,7 +158,7 @@
   }
   task& front = tasks_.front();
   if (front.answers > 0) {
-    if (answers_fence) {
+    if (answers_marker) {
       Report(shell::answer_mismatch::kUnsigned);
       return;
     }
@@ -169,17 +169,17 @@
       // The position that reads see may be behind the received one.
       front.state->position = ready.end_of_log->position;
     }
-  } else if (answers_fence) {
-    OnFenceAnswered();
+  } else if (answers_marker) {
+    OnMarkerAnswered();
   } else {
     front.doubtful = true;
     Report(shell::answer_mismatch::kOutOfStep);
   }
 }
 
-void line_monitor::OnFenceAnswered() {
+void line_monitor::OnMarkerAnswered() {
   task& front = tasks_.front();
-  if (--front.fences > 0) {
+  if (--front.markers > 0) {
     return;
   }
   if (front.doubtful) {
--- a/lib/lines/line_monitor.h
+++ b/lib/lines/line_monitor.h
@@ -20,7 +20,7 @@
 /// each answered move. Several tasks may be outstanding; if one times out, the
 /// connection is closed and all of them fail.
 ///
-/// An endpoint may send an answer again at any later time. Fences behind each
+/// An endpoint may send an answer again at any later time. Markers behind each
 /// task tell: with one answer too many before they are answered, it is unknown
 /// which one is the task's, and the task is sent again.
 class line_monitor final : private endpoint_listener {
@@ -60,7 +60,7 @@
     bool sent = false;
     bool refused_full = false;
     int answers = 1;  ///< Answers to come; the last one is reported.
-    int fences = 0;   ///< Answers to fences to come behind them.
+    int markers = 0;  ///< Answers to markers to come behind them.
     /// One of the answers repeats an earlier one.
     bool doubtful = false;
     std::optional<endpoint_state> state;
@@ -88,7 +88,7 @@
   void SendQueued();
   void AppendCommand(task& queued, std::string& out);
   void OnAnswer(const ready_line& ready);
-  void OnFenceAnswered();
+  void OnMarkerAnswered();
   void Report(shell::answer_mismatch mismatch);
   void FinishFront();
   void SendFrontAgain();
--- a/unittests/lines/answer_matcher_test.cc
+++ b/unittests/lines/answer_matcher_test.cc
@@ -15,8 +15,8 @@
 
 using enum transaction_status;
 
-constexpr int kFences = 2;
-constexpr int kFencesOfDoubt = 4;
+constexpr int kMarkers = 2;
+constexpr int kConfirmingMarkers = 4;
 
 whole_answer Signed(std::string_view text, transaction_status status = kIdle) {
   return {.end = answer_end::kSigned, .text = text, .transaction = status};
@@ -131,11 +131,11 @@
     const statement_kind kind = NextKind(endpoint);
     const int own =
         endpoint.Status() != kFailed && endpoint.Chance(0.2) ? 1 : 0;
-    const int fences = kind == statement_kind::kBegin ? kFences : 0;
+    const int markers = kind == statement_kind::kBegin ? kMarkers : 0;
     endpoint.RunOwn(own);
     const auto truth = endpoint.Run(kind);
-    endpoint.RunOwn(fences);
-    matcher.OnSent(kind, own, fences);
+    endpoint.RunOwn(markers);
+    matcher.OnSent(kind, own, markers);
     const int before = endpoint.Repeats();
     stuttering_endpoint::answer kept;
     for (bool decided = false; !decided && !run.closed;) {
@@ -151,9 +151,9 @@
         ++run.answered;
         run.wrong += given.end != truth.end || given.text != truth.text ? 1 : 0;
       }
-      if (matcher.NeedsFences()) {
-        endpoint.RunOwn(kFencesOfDoubt);
-        matcher.OnFencesSent(kFencesOfDoubt);
+      if (matcher.NeedsMarkers()) {
+        endpoint.RunOwn(kConfirmingMarkers);
+        matcher.OnMarkersSent(kConfirmingMarkers);
       }
     }
     while (!run.closed && (endpoint.HasPending() && endpoint.Chance(0.5))) {
@@ -210,8 +210,8 @@
   SECTION("signed, while the next statement is in progress") {
     matcher.OnSent(statement_kind::kWrite, 0, 0);
     EXPECT(matcher.Match(Signed("a")) == answer_use::kIgnored);
-    EXPECT(matcher.NeedsFences());
-    matcher.OnFencesSent(kFences);
+    EXPECT(matcher.NeedsMarkers());
+    matcher.OnMarkersSent(kMarkers);
     EXPECT(matcher.Match(Signed("c")) == answer_use::kFinal);
     EXPECT(matcher.Match(Unsigned()) == answer_use::kOwn);
     EXPECT(matcher.Match(Unsigned()) == answer_use::kOwn);
@@ -220,7 +220,7 @@
   SECTION("an endpoint that signs two answers alike does not hold a caller") {
     matcher.OnSent(statement_kind::kRead, 0, 0);
     EXPECT(matcher.Match(Signed("c")) == answer_use::kIgnored);
-    matcher.OnFencesSent(kFences);
+    matcher.OnMarkersSent(kMarkers);
     EXPECT(matcher.Match(Unsigned()) == answer_use::kIgnored);
     EXPECT(matcher.Match(Unsigned()) == answer_use::kOutOfStep);
   }
@@ -233,9 +233,9 @@
   EXPECT(matcher.Match(Error("BUSY")) == answer_use::kFinal);
   matcher.OnSent(statement_kind::kWrite, 0, 0);
   EXPECT(matcher.Match(Error("BUSY")) == answer_use::kKept);
-  REQUIRE(matcher.NeedsFences());
-  matcher.OnFencesSent(kFences);
-  SECTION("the write ran: its own answer precedes those of the fences") {
+  REQUIRE(matcher.NeedsMarkers());
+  matcher.OnMarkersSent(kMarkers);
+  SECTION("the write ran: its own answer precedes those of the markers") {
     answer_matcher ran = matcher;
     EXPECT(ran.Match(Signed("w")) == answer_use::kFinal);
     EXPECT(ran.IsDue());
@@ -246,7 +246,7 @@
     EXPECT(refused.Match(Unsigned()) == answer_use::kKeptIsFinal);
     EXPECT(!refused.IsDue());
   }
-  SECTION("one repeated answer to a fence does not confirm it") {
+  SECTION("one repeated answer to a marker does not confirm it") {
     answer_matcher twice = matcher;
     EXPECT(twice.Match(Unsigned()) == answer_use::kOwn);
     EXPECT(twice.Match(Signed("w")) == answer_use::kFinal);
@@ -265,9 +265,9 @@
 
 Test(answer_matcher, a_repeated_begin_does_not_open_a_transaction) {
   answer_matcher matcher;
-  matcher.OnSent(statement_kind::kBegin, 0, kFences);
+  matcher.OnSent(statement_kind::kBegin, 0, kMarkers);
   EXPECT(matcher.Match(Unsigned(kOpen)) == answer_use::kKept);
-  SECTION("it is confirmed by the fences behind it") {
+  SECTION("it is confirmed by the markers behind it") {
     answer_matcher begun = matcher;
     EXPECT(begun.Match(Unsigned(kOpen)) == answer_use::kOwn);
     EXPECT(begun.Match(Unsigned(kOpen)) == answer_use::kKeptIsFinal);
@@ -277,7 +277,7 @@
   }
   SECTION("an answer from outside a transaction is not a BEGIN's") {
     answer_matcher idle;
-    idle.OnSent(statement_kind::kBegin, 0, kFences);
+    idle.OnSent(statement_kind::kBegin, 0, kMarkers);
     EXPECT(idle.Match(Unsigned(kIdle)) == answer_use::kIgnored);
     EXPECT(idle.Match(Unsigned(kOpen)) == answer_use::kKept);
   }
@@ -286,8 +286,8 @@
 Test(answer_matcher, a_commit_succeeds_only_by_its_own_signature) {
   answer_matcher matcher;
   const auto read_in_transaction = [&matcher](const whole_answer& answer) {
-    matcher.OnSent(statement_kind::kBegin, 0, kFences);
-    for (int i = 0; i <= kFences; ++i) {
+    matcher.OnSent(statement_kind::kBegin, 0, kMarkers);
+    for (int i = 0; i <= kMarkers; ++i) {
       matcher.Match(Unsigned(kOpen));
     }
     matcher.OnSent(statement_kind::kRead, 0, 0);
--- a/unittests/lines/plain_codec.h
+++ b/unittests/lines/plain_codec.h
@@ -61,8 +61,8 @@
                      std::string_view shape, std::string& out) const override {
     out.append("prepare ").append(name).append(" ").append(shape).append(";");
   }
-  int AppendFences(std::string& out) const override {
-    out += "fence;fence;";
+  int AppendMarkers(std::string& out) const override {
+    out += "marker;marker;";
     return 2;
   }
   void AppendStatus(std::string& out) const override { out += "status;"; }
--- a/unittests/platform/line_monitor_test.cc
+++ b/unittests/platform/line_monitor_test.cc
@@ -19,8 +19,8 @@
 
 constexpr int kTurnCount = 20;
 
-/// The answers to the fences behind a probe.
-const std::string kFencesAnswered =
+/// The answers to the markers behind a probe.
+const std::string kMarkersAnswered =
     "DONE -\r\nREADY I 1.10\r\nDONE -\r\nREADY I 1.10\r\n";
 /// Answers to a probe, by the position received.
 const std::string kState12 =
@@ -162,13 +162,13 @@
   SECTION("an endpoint that refuses the probe as busy is full") {
     fixture.SendFromEndpoint("READY I 1.10\r\n");
     fixture.SendFromEndpoint("ERR BUSY e\r\nREADY I 1.10\r\n" +
-                             kFencesAnswered);
+                             kMarkersAnswered);
     EXPECT(fixture.TakeFailure().limit_reached);
   }
   fixture.Probe();
   SECTION("an endpoint that answers reports its positions") {
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint(kState12 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState12 + kMarkersAnswered);
     const auto answered = fixture.loop.Take<probe_answered>();
     REQUIRE(answered.has_value());
     EXPECT((answered->state.received_point == log_point{1, 12}));
@@ -227,7 +227,7 @@
   SECTION("the next probe waits for the same startup") {
     REQUIRE(!fixture.HasNewConnection());
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint(kState12 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState12 + kMarkersAnswered);
     EXPECT(fixture.loop.Take<probe_answered>().has_value());
   }
 }
@@ -266,7 +266,7 @@
   line_monitor_fixture fixture;
   fixture.Probe();
   fixture.SendFromEndpoint("READY I 1.10\r\n");
-  fixture.SendFromEndpoint(kState12 + kFencesAnswered);
+  fixture.SendFromEndpoint(kState12 + kMarkersAnswered);
   REQUIRE(fixture.loop.Take<probe_answered>().has_value());
   const auto probe_again = [&fixture] {
     fixture.links->Probe(
@@ -281,16 +281,16 @@
     fixture.SendFromEndpoint(kState12);
     probe_again();
     EXPECT(take_position() == 0);
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 15);
   }
   SECTION("before the answer to the next probe: it is asked again") {
     probe_again();
     fixture.SendFromEndpoint(kState12);
     EXPECT(take_position() == 0);
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 0);
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 15);
   }
   SECTION("in part before the next probe and in part after it") {
@@ -298,13 +298,13 @@
     probe_again();
     fixture.SendFromEndpoint(kState12.substr(30));
     EXPECT(take_position() == 0);
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 15);
   }
-  SECTION("of the startup, and of a fence") {
+  SECTION("of the startup, and of a marker") {
     probe_again();
     fixture.SendFromEndpoint("READY I 1.10\r\nDONE -\r\nREADY I 1.10\r\n");
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 15);
   }
   SECTION("an answer that breaks off is not continued on another connection") {
@@ -314,7 +314,7 @@
     fixture.loop.ForgetPosted();
     fixture.Probe();
     fixture.SendFromEndpoint("READY I 1.10\r\n");
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(take_position() == 15);
   }
   SECTION("an order that is answered by a probe's answer is given again") {
@@ -323,11 +323,11 @@
                          .stop_replication = false});
     fixture.RunTurns();
     fixture.SendFromEndpoint(kState15);
-    fixture.SendFromEndpoint(kState15 + kFencesAnswered);
+    fixture.SendFromEndpoint(kState15 + kMarkersAnswered);
     EXPECT(!fixture.loop.Take<endpoint_moved>().has_value());
     fixture.SendFromEndpoint(
         "ROW replica 3 1.15 0 12 2 17\r\nDONE -\r\nREADY I 1.15\r\n" +
-        kFencesAnswered);
+        kMarkersAnswered);
     const auto moved = fixture.loop.Take<endpoint_moved>();
     REQUIRE(moved.has_value());
     EXPECT(moved->state.term == 3);
