--- a/unittests/postgres/endpoint_links_test.cc
+++ b/unittests/postgres/endpoint_links_test.cc
@@ -188,6 +188,22 @@
   }
 }
 
+// Guards against the second one of two answers that is taken for the answer to
+// the next statement.
+Test(endpoint_links, ignores_an_answer_between_two_statements, .timeout = 30) {
+  const std::string first = Ready(Columns() + Row("a") + Tag("SELECT 1"));
+  const std::string second = Ready(Columns() + Row("b") + Tag("SELECT 1"));
+  int asked = 0;
+  fixture test([&](const std::string&) {
+    return fake_answer{asked++ == 0 ? first + first : second};
+  });
+  test.Open();
+  test.Ask();
+  EXPECT(test.sink.seen == "columns 1;row a;tag SELECT 1;");
+  test.Ask();
+  EXPECT(test.sink.seen == "columns 1;row b;tag SELECT 1;");
+}
+
 Test(endpoint_links, tells_refusals_from_failures, .timeout = 30) {
   std::string bytes;
   fixture test([&](const std::string&) { return fake_answer{bytes}; });
