--- a/test/platform_messages.py
+++ b/test/platform_messages.py
@@ -24,6 +24,7 @@
 CALLERS = 8
 STATEMENTS_OF_A_CALLER = 40
 REPEATED = {"share": 0.2, "least_ms": 2, "most_ms": 80}
+REFUSED_SHARE = 0.2
 # Fewer repeated answers than this, and a run has shown nothing.
 LEAST_REPEATED = 20
 
@@ -245,6 +246,25 @@
     with_repeated_answers(cluster, work)
 
 
+def repeated_refusals(cluster):
+    """A refusal that comes twice is no promise about the next statement."""
+    cluster.platform.order(refuse_statements=REFUSED_SHARE)
+
+    def work(session, caller, step):
+        item = f"w{caller}x{step}"
+        try:
+            session.ask(f"WRITE {item} {plain(caller, step)}")
+            session.ask(f"READ {item}")
+        except Refused:
+            pass
+        if step % 4 == 0:
+            session.ask("BEGIN")
+            session.ask(f"WRITE t{item} {plain(caller, step)}")
+            session.ask("COMMIT")
+    record = with_repeated_answers(cluster, work)
+    expect(record.failed > 0, "no statement was refused")
+
+
 def repeated_answers_around_session_state(cluster):
     """Nor of statements with which instances apply values and names."""
     def work(session, caller, step):
@@ -298,7 +318,7 @@
 SCENARIOS = (
     nothing_unusual, line_feeds_in_statements, line_feeds_in_rows,
     carriage_returns, repeated_answers, repeated_answers_in_transactions,
-    repeated_answers_around_session_state,
+    repeated_refusals, repeated_answers_around_session_state,
     repeated_answers_to_abandoned_statements, repeated_answers_at_carriers,
     primaries_change_while_answers_repeat)
 
--- a/tools/standin/platform/answer_faults.cc
+++ b/tools/standin/platform/answer_faults.cc
@@ -1,4 +1,4 @@
-// Draws the answers that are sent twice.
+// Draws the answers that are sent twice and the statements that are refused.
 
 #include "answer_faults.h"
 
@@ -19,6 +19,16 @@
   most_ms_ = IntegerMember(order, "most_ms");
 }
 
+void answer_faults::SetRefused(double share) {
+  const std::lock_guard lock(mutex_);
+  refused_ = share;
+}
+
+bool answer_faults::DrawRefusal() {
+  const std::lock_guard lock(mutex_);
+  return std::bernoulli_distribution(refused_)(random_);
+}
+
 std::optional<repeated_answer> answer_faults::Draw() {
   const std::lock_guard lock(mutex_);
   if (!std::bernoulli_distribution(share_)(random_)) {
--- a/tools/standin/platform/answer_faults.h
+++ b/tools/standin/platform/answer_faults.h
@@ -1,4 +1,4 @@
-// Databases that answer twice.
+// Databases that answer twice, or refuse statements.
 
 #ifndef MARJORAMSLIP_TOOLS_STANDIN_PLATFORM_ANSWER_FAULTS_H_
 #define MARJORAMSLIP_TOOLS_STANDIN_PLATFORM_ANSWER_FAULTS_H_
@@ -27,6 +27,10 @@
 
   /// `order` has `share` (0 to 1), `least_ms` and `most_ms`.
   void Set(const json_object& order);
+  /// This share of callers' statements is refused without being run.
+  void SetRefused(double share);
+  /// True if the next statement is refused.
+  bool DrawRefusal();
   /// Empty if the next answer is sent once.
   std::optional<repeated_answer> Draw();
   /// Counts an answer that was sent a second time.
@@ -37,6 +41,7 @@
   mutable std::mutex mutex_;
   std::mt19937_64 random_;
   double share_ = 0.0;
+  double refused_ = 0.0;
   std::int64_t least_ms_ = 0;
   std::int64_t most_ms_ = 0;
   std::uint64_t repeats_ = 0;
--- a/tools/standin/platform/line_connection.cc
+++ b/tools/standin/platform/line_connection.cc
@@ -164,10 +164,13 @@
 }
 
 void line_connection::Query(const std::string& id, const std::string& text) {
+  const bool ends = text == "ROLLBACK" || text == "COMMIT";
+  const bool refused = id != "-" && !ends && owner_.Faults().DrawRefusal();
   const std::optional<std::string> done =
-      state_ == state::kFailed && text != "ROLLBACK" && text != "COMMIT"
+      state_ == state::kFailed && !ends
           ? Refuse("BADMSG", "the transaction has failed")
-          : Run(id, text);
+      : refused ? Refuse("BUSY", owner_.Options().id)
+                : Run(id, text);
   if (done) {
     answer_ += "DONE " + *done + "\r\n";
   } else if (state_ == state::kOpen) {
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -200,6 +200,9 @@
   if (const json_object repeat = ObjectMember(order, "repeat_answers")) {
     answer_faults_.Set(repeat);
   }
+  if (order->has("refuse_statements")) {
+    answer_faults_.SetRefused(NumberMember(order, "refuse_statements", 0.0));
+  }
   // An entry of another writer: any key, any bytes.
   if (const json_object put = ObjectMember(order, "put")) {
     store_.Put(TextMember(put, "key"), TextMember(put, "value"));
