Let the platform's stand-in play drills of the store, and test them

Nothing of the product reads Store-Era yet. Change: the stand-in's store takes copies, goes away, comes back from one of them, writes again what the operator and the databases wrote, counts Store-Era and answers 410 to a watch from a revision that it doesn't have.

--- a/tools/standin/kv_store.cc
+++ b/tools/standin/kv_store.cc
@@ -151,6 +151,31 @@
   changed_.notify_all();
 }
 
+kv_copy kv_store::Copy() {
+  const std::lock_guard lock(mutex_);
+  kv_copy copy{pairs_, {}, revision_};
+  for (const auto& [id, each] : leases_) {
+    copy.leases.emplace(id, each.ttl);
+  }
+  return copy;
+}
+
+void kv_store::Restore(const kv_copy& copy) {
+  const std::lock_guard lock(mutex_);
+  pairs_ = copy.pairs;
+  revision_ = copy.revision;
+  leases_.clear();
+  const auto now = std::chrono::steady_clock::now();
+  for (const auto& [id, ttl] : copy.leases) {
+    leases_[id] = {ttl, now + ttl};
+  }
+  std::erase_if(history_, [&copy](const kv_change& change) {
+    return change.now.mod_revision > copy.revision;
+  });
+  compacted_ = std::min(compacted_, revision_);
+  changed_.notify_all();
+}
+
 std::int64_t kv_store::Revision() {
   const std::lock_guard lock(mutex_);
   return revision_;
--- a/tools/standin/kv_store.h
+++ b/tools/standin/kv_store.h
@@ -91,6 +91,13 @@
   std::int64_t compacted = 0;      ///< Above 0: the start is gone.
 };
 
+/// All that a store holds at one moment, but for its history.
+struct kv_copy {
+  std::map<std::string, kv_pair, std::less<>> pairs;
+  std::map<std::int64_t, std::chrono::milliseconds> leases;  ///< By their ttl.
+  std::int64_t revision = 0;
+};
+
 /// A store safe for use by several threads.
 class kv_store {
  public:
@@ -123,6 +130,12 @@
   /// Forgets the history: watches from before now are to start anew.
   void Compact();
 
+  kv_copy Copy();
+
+  /// Goes back to a copy that is not older than the history. Leases run anew.
+  /// Revisions after the copy's are given out again.
+  void Restore(const kv_copy& copy);
+
   /// The revision of the last change.
   std::int64_t Revision();
 
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -76,6 +76,7 @@
 }
 
 void platform_world::Tick() {
+  store_.Tick();
   store_.Keys().LapseDue();
   for (std::size_t i = 0; i < servers_.size(); ++i) {
     Register(i);
@@ -200,6 +201,10 @@
   if (const json_object repeat = ObjectMember(order, "repeat_answers")) {
     answer_faults_.Set(repeat);
   }
+  if (const json_object drill = ObjectMember(order, "drill")) {
+    store_.Drill(std::chrono::milliseconds(IntegerMember(drill, "age_ms")),
+                 std::chrono::milliseconds(IntegerMember(drill, "away_ms")));
+  }
   if (order->has("refuse_statements")) {
     answer_faults_.SetRefused(NumberMember(order, "refuse_statements", 0.0));
   }
--- a/tools/standin/platform/platform_store.cc
+++ b/tools/standin/platform/platform_store.cc
@@ -8,6 +8,7 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -24,6 +25,9 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr auto kTick = 20ms;
+/// Copies for drills.
+constexpr auto kCopyInterval = 100ms;
+constexpr auto kOldestCopy = 10s;
 /// What an answer takes.
 constexpr auto kAnswerTime = 4ms;
 constexpr std::int64_t kPageItems = 500;
@@ -84,6 +88,53 @@
   keys_.Transact({}, {kv_delete{{key, "", 0}}}, {});
 }
 
+void platform_store::Drill(std::chrono::milliseconds age,
+                           std::chrono::milliseconds away) {
+  const std::lock_guard lock(drill_mutex_);
+  const auto now = std::chrono::steady_clock::now();
+  const auto young = std::find_if(
+      copies_.begin(), copies_.end(),
+      [&](const timed_copy& one) { return one.taken > now - age; });
+  restored_ = young == copies_.begin() ? keys_.Copy() : std::prev(young)->copy;
+  back_at_ = now + away;
+  away_ = true;
+}
+
+void platform_store::Tick() {
+  const std::lock_guard lock(drill_mutex_);
+  const auto now = std::chrono::steady_clock::now();
+  if (away_ && now >= back_at_) {
+    ComeBack();
+  }
+  if (copies_.empty() || now - copies_.back().taken >= kCopyInterval) {
+    copies_.push_back({now, keys_.Copy()});
+  }
+  while (now - copies_.front().taken > kOldestCopy) {
+    copies_.pop_front();
+  }
+}
+
+void platform_store::ComeBack() {
+  const kv_copy lost = keys_.Copy();
+  keys_.Restore(restored_);
+  for (const auto& [key, pair] : lost.pairs) {
+    const auto kept = restored_.pairs.find(key);
+    const bool same =
+        kept != restored_.pairs.end() && kept->second.value == pair.value;
+    if (IsReserved(key) && !same) {
+      Put(key, pair.value);
+    }
+  }
+  for (const auto& [key, pair] : restored_.pairs) {
+    if (IsReserved(key) && !lost.pairs.contains(key)) {
+      Remove(key);
+    }
+  }
+  copies_.clear();
+  ++era_;
+  away_ = false;
+}
+
 bool platform_store::Writes(const std::string& method, const std::string& uri) {
   return method != "GET" && !uri.starts_with(kLeasePath);
 }
@@ -173,6 +224,9 @@
   Poco::JSON::Array::Ptr events(new Poco::JSON::Array);
   std::int64_t revision = 0;
   do {
+    if (next > keys_.Revision() + 1) {
+      return Refuse(410, "the store has no such revision");
+    }
     const kv_changes found = keys_.ChangesFrom(range, next, kTick);
     if (found.compacted > 0) {
       return Refuse(410, "the history is gone");
@@ -271,7 +325,8 @@
   const kv_fate fate = store_.Faults().Draw();
   std::this_thread::sleep_for(fate.mode == kv_mode::kSlow ? fate.delay
                                                           : kAnswerTime);
-  if (fate.mode == kv_mode::kDown) {
+  const std::uint64_t era = store_.Era();
+  if (fate.mode == kv_mode::kDown || store_.Away()) {
     return CloseUnanswered(request);
   }
   while (store_.Faults().Mode() == kv_mode::kHang && !store_.Ending()) {
@@ -288,6 +343,10 @@
   if (lost) {
     return CloseUnanswered(request);
   }
+  if (era != store_.Era()) {
+    return CloseUnanswered(request);
+  }
+  response.set("Store-Era", std::to_string(era));
   SendAnswer(response, answer);
 }
 
--- a/tools/standin/platform/platform_store.h
+++ b/tools/standin/platform/platform_store.h
@@ -10,6 +10,8 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <mutex>
 #include <string>
 
@@ -58,6 +60,15 @@
   /// Waits of watches end early once the store ends.
   store_answer Call(const std::string& method, const std::string& uri,
                     const std::string& body);
+
+  /// Goes away for a while and comes back from a copy of `age` before now. What
+  /// the operator and the databases wrote is written again.
+  void Drill(std::chrono::milliseconds age, std::chrono::milliseconds away);
+  /// Takes copies and ends drills; to be called regularly.
+  void Tick();
+  bool Away() const { return away_; }
+  /// How often it has come back from a copy.
+  std::uint64_t Era() const { return era_; }
   /// True if calls of this kind change something.
   static bool Writes(const std::string& method, const std::string& uri);
 
@@ -78,6 +89,18 @@
 
   kv_store keys_;
   kv_faults faults_;
+  struct timed_copy {
+    std::chrono::steady_clock::time_point taken;
+    kv_copy copy;
+  };
+  void ComeBack();
+
+  std::mutex drill_mutex_;
+  std::deque<timed_copy> copies_;
+  kv_copy restored_;  ///< What the drill in progress goes back to.
+  std::chrono::steady_clock::time_point back_at_;
+  std::atomic<bool> away_ = false;
+  std::atomic<std::uint64_t> era_ = 1;
   call_budget writes_{kWritesPerSecond};
   call_budget reads_{kReadsPerSecond};
   std::atomic<bool> ending_ = false;
