--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -16,7 +16,7 @@
 import time
 import urllib.request
 
-from databases import Service
+from databases import BEAT_S, Service
 from store import Store, serve
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -86,41 +86,33 @@
                 return rows
 
 
-def free_ports(count):
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [h.getsockname()[1] for h in held]
-    for h in held:
-        h.close()
-    return ports
+# Below the ports that the kernel gives to outgoing connections: a port has to
+# be free still when its process starts again.
+_candidates = iter(range(15000 + os.getpid() % 500 * 32, 32768))
 
 
-def free_pair():
-    for first in range(20000 + os.getpid() % 400 * 20, 32000):
-        held = []
-        try:
-            for port in (first, first + 1):
-                held.append(socket.create_server(("127.0.0.1", port)))
-            return first
-        except OSError:
-            continue
-        finally:
-            for h in held:
-                h.close()
+def free_ports(count):
+    """Finds successive ports that nobody listens on."""
+    ports = []
+    for port in _candidates:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                ports = []
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
     raise CannotRun("no free ports")
 
 
 class Instance:
     """One machine: its settings and its process."""
 
-    taken = set()
-
     def __init__(self, world, number):
         self.world, self.name = world, f"front-{ZONES[number % 4]}-{number + 1}"
-        front, ready, metrics = free_ports(3)
-        pair = free_pair()
-        while pair in Instance.taken:
-            pair += 2
-        Instance.taken.add(pair)
+        front, ready, metrics, pair, _ = free_ports(5)
         self.address = f"127.0.0.1:{front}"
         self.ready_address = f"127.0.0.1:{ready}"
         values = {"node": self.name, "zone": ZONES[number % 4],
@@ -148,12 +140,28 @@
         program = ROOT / "target/platform/marjoramslip-platform"
         if not program.exists():
             raise CannotRun("target/ is not built")
+        piped = self.world.reader is not None
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [str(program)], cwd=ROOT, stdout=log, stderr=log,
+                [str(program)], cwd=ROOT,
+                stdout=subprocess.PIPE if piped else log,
+                stderr=subprocess.STDOUT if piped else log,
                 env={"PATH": os.environ["PATH"], "HOME": "/tmp",
                      "LANG": "C.UTF-8",
                      "MARJORAMSLIP_BOOT": str(self.settings)})
+        if piped:
+            threading.Thread(target=self._read_log, daemon=True).start()
+
+    def _read_log(self):
+        """The platform's reader of what the process writes."""
+        pipe = self.process.stdout.fileno()
+        with self.log.open("ab") as log:
+            while True:
+                self.world.reader.wait()
+                data = os.read(pipe, 65536)
+                if not data:
+                    return
+                log.write(data)
 
     def ready(self):
         try:
@@ -174,15 +182,19 @@
 class World:
     """The stand-ins and the instances of a run."""
 
-    def __init__(self, case, instances=5, services=3):
+    def __init__(self, case, instances=5, services=3, sync=0, piped=False):
         self.case = pathlib.Path(case)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.began = time.monotonic()
         self._record = (self.case / "record.txt").open("w")
         self._record_lock = threading.Lock()
+        # Logs go through pipes; their readers rest while this is not set.
+        self.reader = threading.Event() if piped else None
+        if piped:
+            self.reader.set()
         self.store = Store()
         self.promotions = []  # (seconds, holder, fence, service, id, status)
-        self.services = [Service(f"ledger{n}", ZONES[:3], self.note)
+        self.services = [Service(f"ledger{n}", ZONES[:3], self.note, sync)
                          for n in range(services)]
         self.store_address = serve(self.store, self._promote)
         self.version = 0
@@ -220,6 +232,10 @@
                         service.advance()
                     if one.running:
                         one.beat(self.store)
+                    elif (one.said and time.monotonic() - one.written >
+                          3 * BEAT_S and
+                          self.store.remove("servers/" + one.id)):
+                        one.said = None
             time.sleep(0.02)
 
     def configure(self, version, more_routes=()):
@@ -241,7 +257,7 @@
                            "priority": 1, "attempts": 2, "service": service})
         text = json.dumps({
             "version": version, "routes": routes,
-            "services": [{"name": s.name, "maxConns": 23, "syncReplicas": 0}
+            "services": [{"name": s.name, "maxConns": 23, "syncReplicas": s.sync}
                          for s in self.services],
             "limits": {"txIdleMs": 3000}}).encode()
         revision = self.store.put("op/config", text)
--- a/review/lib-2/databases.py
+++ b/review/lib-2/databases.py
@@ -11,8 +11,12 @@
 PROMOTE_S = 0.6
 YIELD_S = 1.0        # an old primary that reaches the new one follows it
 WORK_S = 0.002
+HANDSHAKE_S = 0.012
+STATUS_S = 0.0005
 BEAT_S = 1.2
 SLOTS = 3
+QUEUE = 24           # statements that wait for a slot; more are told BUSY
+MAX_CONNECTIONS = 23
 
 
 class Database:
@@ -26,18 +30,66 @@
         self.born = int(time.time() * 1000)
         self.connections, self.sequence = 0, 0
         self.slots = threading.Semaphore(SLOTS)
+        self.waiting, self.deaf = 0, False
+        self.links = set()
         self.said, self.written = None, 0.0
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listen(0)
 
-    def _accept(self):
+    def listen(self, port):
+        self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        self.port = self.listener.getsockname()[1]
+        self.addr = "127.0.0.1:%d" % self.port
+        threading.Thread(target=self._accept, args=(self.listener,),
+                         daemon=True).start()
+
+    def _accept(self, listener):
         while True:
-            link, _ = self.listener.accept()
+            try:
+                link, _ = listener.accept()
+            except OSError:
+                return
             link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=Connection(self, link).run,
                              daemon=True).start()
 
+    def crash(self):
+        """Says nothing more; its port refuses connections."""
+        with self.service.lock:
+            self.service.advance()
+            self.running = False
+            links = list(self.links)
+        # Wakes the thread that accepts; closing alone would not.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for link in links:
+            try:
+                link.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.service.note("crash", self.id)
+
+    def start_again(self):
+        """Comes back with its log, as a replica if another was promoted."""
+        with self.service.lock:
+            self.service.advance()
+            self.primary = (self.primary and
+                            self.term == self.service.newest_term())
+            self.running, self.said = True, None
+        self.listen(self.port)
+        self.service.note("return", f"{self.id} primary={self.primary}")
+
+    def work(self, seconds):
+        """Takes a slot; false if too many wait for one."""
+        with self.service.lock:
+            if self.waiting >= QUEUE:
+                return False
+            self.waiting += 1
+        with self.slots:
+            with self.service.lock:
+                self.waiting -= 1
+            time.sleep(seconds)
+        return True
+
     def position(self):
         return f"{self.term}.{self.held}"
 
@@ -55,7 +107,9 @@
         said_before = self.said
         self.sequence += 1
         text = json.dumps({**said, "seq": self.sequence}).encode()
-        if store.put("servers/" + self.id, text) is None:
+        # The entry changes only when more than its seq does.
+        listed = said == said_before and store.get("servers/" + self.id)
+        if not listed and store.put("servers/" + self.id, text) is None:
             return
         if said_before and said["state"] != said_before["state"]:
             self.service.note("entry", self.id + " says " + said["state"])
@@ -63,8 +117,11 @@
 
 
 class Service:
-    def __init__(self, name, zones, journal):
-        self.name, self.journal = name, journal
+    def __init__(self, name, zones, journal, sync=0):
+        self.name, self.journal, self.sync = name, journal, sync
+        self.read_s = WORK_S
+        self.committed = {}   # id of a statement -> number of its commit
+        self.taken_over = []  # (time, id of the database, commits in its log)
         self.lock = threading.RLock()
         self.databases = []
         self.databases = [Database(self, n + 1, zones[n]) for n in range(3)]
@@ -94,6 +151,7 @@
                 for entry in one.log[one.held:]:
                     one.values.update(entry[2])
                 one.held = len(one.log)
+                self.taken_over.append((now, one.id, {e[0] for e in one.log}))
                 for each in self.databases:
                     each.paused = 0
                 self.note("promoted", f"{one.id} leads term {one.term} from "
@@ -106,7 +164,7 @@
                 continue
             if one.primary and now - self.led_since >= YIELD_S:
                 one.primary = False
-            if one.primary or one.paused:
+            if one.primary or one.paused or one.deaf:
                 continue
             if one.term != leader.term:
                 same = 0
@@ -126,8 +184,17 @@
                 one.values.update(one.log[one.held][2])
                 one.held += 1
 
-    def commit(self, one, writes):
+    def is_received(self, number, primary):
+        """True once enough replicas have received a commit."""
+        with self.lock:
+            self.advance()
+            holders = sum(1 for d in self.databases if d is not primary and
+                          any(e[0] == number for e in reversed(d.log)))
+            return holders >= self.sync
+
+    def commit(self, one, writes, statement):
         self.last_id += 1
+        self.committed[statement] = self.last_id
         one.log.append((self.last_id, time.monotonic(), writes))
         one.values.update(writes)
         one.held = len(one.log)
@@ -160,6 +227,7 @@
     def run(self):
         with self.db.service.lock:
             self.db.connections += 1
+            self.db.links.add(self.link)
         try:
             self.serve()
         except (OSError, Gone):
@@ -167,6 +235,7 @@
         finally:
             with self.db.service.lock:
                 self.db.connections -= 1
+                self.db.links.discard(self.link)
             self.link.close()
 
     def line(self):
@@ -191,7 +260,10 @@
         if not right:
             self.send("ERR MISROUTED " + self.db.id)
             return
-        time.sleep(0.005)
+        if self.db.connections > MAX_CONNECTIONS:
+            self.send("ERR TOOMANY " + self.db.id)
+            return
+        self.db.work(HANDSHAKE_S)
         with self.db.service.lock:
             self.db.service.advance()
             position = self.db.position()
@@ -205,13 +277,26 @@
 
     def answer(self, identity, text):
         verb = text.split(" ", 1)[0]
-        if verb in ("READ", "WRITE", "EXEC", "AFTER", "COMMIT"):
-            with self.db.slots:
-                time.sleep(WORK_S)
-        with self.db.service.lock:
-            self.db.service.advance()
+        seconds = {"READ": self.db.service.read_s, "AFTER":
+                   self.db.service.read_s, "EXEC": self.db.service.read_s,
+                   "WRITE": WORK_S, "COMMIT": WORK_S, "STATUS": STATUS_S}
+        if verb in seconds and not self.db.work(seconds[verb]):
+            return [*self.refuse("BUSY"),
+                    f"READY {self.state} {self.db.position()}"]
+        service = self.db.service
+        with service.lock:
+            service.advance()
+            if not self.db.running:
+                raise Gone
+            before = service.last_id
             lines = self.run_statement(identity, text)
-            return [*lines, f"READY {self.state} {self.db.position()}"]
+            number = service.last_id if service.last_id != before else None
+            ready = f"READY {self.state} {self.db.position()}"
+        while number and not service.is_received(number, self.db):
+            if not self.db.running:
+                raise Gone
+            time.sleep(0.001)
+        return [*lines, ready]
 
     def refuse(self, code):
         if self.state == "T":
@@ -272,7 +357,7 @@
             if writes:
                 if not self.leads():
                     return [f"ERR READONLY {db.id}"]
-                db.service.commit(db, writes)
+                db.service.commit(db, writes, identity)
                 db.service.note("ran", f"{identity} COMMIT at {db.id} "
                                 f"{db.position()}")
             return [signature]
@@ -290,7 +375,8 @@
                 return [signature]
             if not db.primary:
                 return self.refuse("READONLY")
-            db.service.commit(db, {words[1]: " ".join(words[2:])})
+            db.service.commit(db, {words[1]: " ".join(words[2:])},
+                              identity)
             db.service.note("ran", f"{identity} WRITE {words[1]} at {db.id} "
                             f"{db.position()}")
             return [signature]
