--- a/review/lib-2/cluster.py
+++ b/review/lib-2/cluster.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.request
 
 from databases import BEAT_S, Service
@@ -359,12 +360,17 @@
     except CannotRun as why:
         print("cannot run:", why)
         return 2
+    except Exception:  # A fault of the case itself must not count as a break.
+        traceback.print_exc()
+        return 2
     finally:
         if world:
             world.stop()
 
 
 def main(scenario, **options):
+    # At the time limit of run.sh: the processes are ended first.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = run_case(pathlib.Path(sys.argv[1]), scenario, **options)
     sys.stdout.flush()
     os._exit(code)
