--- a/include/marjoramslip/core/events.h
+++ b/include/marjoramslip/core/events.h
@@ -287,6 +287,8 @@
   /// Time until which this instance is guaranteed to hold the duty; in the past
   /// if it does not hold it.
   instant held_until{};
+  /// Time until which an earlier holder may still use the duty.
+  instant usable_from{};
 };
 
 /// This instance's membership lease was renewed by a call that was sent at
--- a/include/marjoramslip/kv/http_channel.h
+++ b/include/marjoramslip/kv/http_channel.h
@@ -5,6 +5,7 @@
 #define MARJORAMSLIP_KV_HTTP_CHANNEL_H_
 
 #include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/NameValueCollection.h>
 
 #include <atomic>
 #include <chrono>
@@ -64,10 +65,11 @@
 /// Whether a request may change state on the server.
 enum class request_effect : std::uint8_t { kReads, kWrites };
 
-/// The status and body of an answer.
+/// An answer.
 struct http_reply {
   int status = 0;
   std::string body;
+  Poco::Net::NameValueCollection headers = {};
 };
 
 /// Sends requests to the preferred address and switches to the next one on
--- a/include/marjoramslip/kv/key_space.h
+++ b/include/marjoramslip/kv/key_space.h
@@ -34,6 +34,8 @@
   std::string Seat(std::uint32_t number) const;
   /// Key held by the instance that is responsible for promotions.
   std::string Duty() const { return prefix_ + "duty"; }
+  /// Key of the newest fence of that duty, which outlasts its holders.
+  std::string Fence() const { return prefix_ + "fence"; }
 
   /// Returns the part of `key` after `directory`, or nothing if the key is not
   /// below it.
--- a/include/marjoramslip/kv/key_value_store.h
+++ b/include/marjoramslip/kv/key_value_store.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,10 +25,17 @@
   std::uint64_t lease = 0;  ///< 0: none.
 };
 
+/// Numbers the histories of a store. A store that is restored from an older
+/// copy loses what it acknowledged since that copy, begins another history with
+/// a higher number, and may give out the same revisions and lease ids again.
+/// Empty if the store does not tell.
+using history_id = std::optional<std::uint64_t>;
+
 /// The entries of a range and the store's revision at which they were read.
 struct range_result {
   std::vector<entry> entries;
   std::uint64_t revision = 0;
+  history_id history = {};  ///< Revisions are of this history.
 };
 
 /// Holds if the key's mod_revision equals `mod_revision`; 0 requires that the
@@ -86,11 +94,18 @@
 
   /// Reports the changes below `prefix` from `revision` on, in order, on a
   /// thread of the store; reconnects as needed. `on_reset` is called if changes
-  /// may have been missed; the caller then has to read the range again.
+  /// may have been missed; the caller then has to read the range again. The
+  /// watch is of the history that History() returned last: a caller whose read
+  /// is of another one has to read again.
   virtual result<std::unique_ptr<watch_handle>> Watch(
       std::string_view prefix, std::uint64_t revision,
       std::function<void(const change&)> on_change,
       std::function<void()> on_reset) = 0;
+
+  /// Returns the newest history that an answer has told; never decreases. A
+  /// call that succeeded was executed in history `h` if this returned `h` both
+  /// before the call and after it: answers from earlier histories fail.
+  virtual history_id History() const { return std::nullopt; }
 };
 
 }  // namespace marjoramslip::kv
--- a/include/marjoramslip/kv/memory_store.h
+++ b/include/marjoramslip/kv/memory_store.h
@@ -56,6 +56,16 @@
   /// restored empty and had granted the same lease ids again to other clients.
   /// A watch that starts later from an earlier revision is reset.
   void EraseKeysSilently();
+  /// The state that a store goes back to.
+  struct backup;
+  std::shared_ptr<const backup> Copy() const;
+  /// Goes back to a copy: later writes and leases are gone, and revisions and
+  /// lease ids are given out again. Watches hear of it only if the store tells
+  /// its history.
+  void GoBack(const backup& copy);
+  /// From now on, History() tells how often the store went back.
+  void TellHistory();
+  history_id History() const override;
   /// Resets every watch, as if changes had been missed; also resets watches
   /// that start later from an earlier revision.
   void ResetWatches();
@@ -96,6 +106,8 @@
   duration delay_{};
   duration answer_delay_{};
   bool down_ = false;
+  bool tells_history_ = false;
+  std::uint64_t history_ = 1;
 };
 
 }  // namespace marjoramslip::kv
--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -65,11 +65,14 @@
   PostFaults();
   membership_.OnDirectoryRead(range);
   std::vector<kv::entry> groups;
-  std::optional<std::string> duty_holder;
+  std::optional<kv::entry> duty_holder;
+  std::optional<kv::entry> fence;
   members_.clear();
   for (kv::entry& entry : range.entries) {
     if (entry.key == keys.Duty()) {
-      duty_holder = entry.value;
+      duty_holder = entry;
+    } else if (entry.key == keys.Fence()) {
+      fence = entry;
     }
     if (const auto name =
             kv::key_space::StripDirectory(keys.Groups(), entry.key)) {
@@ -84,12 +87,14 @@
     OnGroup(*kv::key_space::StripDirectory(keys.Groups(), entry.key), entry);
   }
   const bool listed = members_.contains(self_.name);
+  history_ = range.history;
+  membership_.Duty().OnFenceSeen(fence, range.revision, history_);
   if (source_.PlatformPromotes() && (listed || duty_holder.has_value())) {
-    membership_.OnDutyChange(duty_holder, DutyClaimDelay());
+    membership_.Duty().OnHolderSeen(duty_holder, DutyClaimDelay());
   }
   // The first read is usually older than the announcement. Once that is
   // written, the watch delivers it.
-  const bool first_read = generation_ == 1;
+  const bool first_read = first_requested_at_ == instant{};
   if (!listed && !first_read) {
     membership_.OnAnnouncementMissing();
   }
@@ -148,7 +153,7 @@
 }
 
 result<void> platform_follower::StartWatch(std::uint64_t revision) {
-  const std::uint64_t generation = generation_;
+  const std::uint64_t generation = ++generation_;
   const auto on_change = [this, generation](const kv::change& change) {
     worker_.Post([this, generation, change] {
       if (generation == generation_) {
@@ -166,6 +171,10 @@
   BOOST_LEAF_ASSIGN(
       watch_, context_.Store().Watch(source_.WatchPrefix(), revision, on_change,
                                      on_reset));
+  if (context_.Store().History() != history_) {
+    return Fail(error_kind::kUnavailable,
+                "the store went back to an older copy since it was read");
+  }
   return {};
 }
 
@@ -177,10 +186,15 @@
     return;
   }
   if (key == keys.Duty()) {
-    membership_.OnDutyChange(change.erased
-                                 ? std::nullopt
-                                 : std::optional(change.current_entry.value),
-                             DutyClaimDelay());
+    membership_.Duty().OnHolderSeen(
+        change.erased ? std::nullopt : std::optional(change.current_entry),
+        DutyClaimDelay());
+    return;
+  }
+  if (key == keys.Fence()) {
+    membership_.Duty().OnFenceSeen(
+        change.erased ? std::nullopt : std::optional(change.current_entry),
+        change.current_entry.mod_revision, history_);
     return;
   }
   const auto group = kv::key_space::StripDirectory(keys.Groups(), key);
--- a/lib/coordination/platform_link_follower.h
+++ b/lib/coordination/platform_link_follower.h
@@ -88,6 +88,8 @@
   instant all_requested_at_{};
   /// When the first successful read of all keys was requested.
   instant first_requested_at_{};
+  /// The store's history in which all keys were read last.
+  kv::history_id history_;
   /// Number of the current watch; late deliveries of older ones are dropped.
   std::uint64_t generation_ = 0;
   std::unique_ptr<kv::watch_handle> watch_;
--- a/lib/coordination/platform_link_members.cc
+++ b/lib/coordination/platform_link_members.cc
@@ -24,6 +24,8 @@
 /// Interval between renewals where the serving lease depends on them. One of
 /// them may fail before it expires.
 constexpr duration kServingRenewalInterval = std::chrono::milliseconds(600);
+/// How long the duty to promote is used after a proof that it is held, at most.
+constexpr duration kMaxDutyValidity = std::chrono::seconds(3);
 /// Number of conflicting claims that are attributed to other instances' claims
 /// of the same seat.
 constexpr std::uint32_t kConflictsWithoutEntry = 2;
@@ -83,14 +85,17 @@
     : context_(context),
       self_(std::move(self)),
       lease_ttl_(lease),
-      platform_promotes_(platform_promotes) {
+      platform_promotes_(platform_promotes),
+      duty_(context_, self_.name, std::min<duration>(lease, kMaxDutyValidity),
+            [this] { worker_.InterruptPause(); }) {
   worker_.Post([this] { Run(); });
 }
 
 void platform_membership::Leave() {
   leaving_ = true;
   const std::uint64_t lease = lease_.exchange(0);
-  if (lease != 0) {
+  // In another history the id may be another instance's.
+  if (lease != 0 && context_.Store().History() == LeaseHistory()) {
     // If this fails, the lease expires by itself.
     context_.RecordCallResult(
         Attempt([&] { return context_.Store().RevokeLease(lease); }));
@@ -105,7 +110,7 @@
       const duration until_renewal = TimeUntilRenewal();
       worker_.Pause(idle
                         ? std::min(until_renewal,
-                                   TimeUntilDutyClaim().value_or(until_renewal))
+                                   duty_.TimeUntilDue().value_or(until_renewal))
                         : kRetryPause);
     }
   }
@@ -122,31 +127,6 @@
                   lease_extended_at_ + RenewalInterval() - BootTime());
 }
 
-void platform_membership::OnDutyChange(const std::optional<std::string>& holder,
-                                       duration delay) {
-  if (holder.has_value()) {
-    // A claim of this instance that took effect although its answer was lost:
-    // claiming again tells whether the duty is held.
-    const bool own = *holder == FormatClaim({self_.name, lease_});
-    claim_duty_at_ = own ? BootTime().time_since_epoch().count() : 0;
-    return;
-  }
-  duration::rep unset = 0;
-  const instant due = BootTime() + delay;
-  if (claim_duty_at_.compare_exchange_strong(unset,
-                                             due.time_since_epoch().count())) {
-    worker_.InterruptPause();
-  }
-}
-
-std::optional<duration> platform_membership::TimeUntilDutyClaim() const {
-  const duration::rep due = claim_duty_at_;
-  if (due == 0 || !announced_ || lease_ == 0 || fence_ != 0) {
-    return std::nullopt;
-  }
-  return std::max(duration::zero(), instant(duration(due)) - BootTime());
-}
-
 void platform_membership::OnDirectoryRead(kv::range_result entries) {
   {
     const std::lock_guard lock(mutex_);
@@ -160,47 +140,39 @@
   worker_.InterruptPause();
 }
 
-void platform_membership::ClaimDuty() {
-  const std::string key = context_.Keys().Duty();
-  const std::uint64_t lease = lease_;
-  if (lease == 0) {
-    return;  // Leave() has revoked it; a key without a lease would stay.
-  }
-  const std::string value = FormatClaim({self_.name, lease});
-  const auto claimed = Attempt([&] {
-    return context_.Store().Transact({{key, 0}}, {{key, value, false, lease}});
-  });
-  context_.RecordCallResult(claimed);
-  if (claimed) {
-    fence_ = *claimed;
-  } else if (claimed.Failed(error_kind::kUnknown) ||
-             claimed.Failed(error_kind::kConflict)) {
-    // A conflict may be with an earlier claim of this instance whose answer was
-    // lost.
-    const auto found =
-        Attempt([&] { return context_.Store().Range(key, true); });
-    if (found && !found->entries.empty() && found->entries[0].value == value) {
-      fence_ = found->entries[0].mod_revision;
+kv::history_id platform_membership::LeaseHistory() {
+  const std::lock_guard lock(mutex_);
+  return lease_history_;
+}
+
+void platform_membership::SetLeaseHistory(const kv::history_id& history) {
+  const std::lock_guard lock(mutex_);
+  lease_history_ = history;
+}
+
+void platform_membership::NoteHistory() {
+  const kv::history_id newest = context_.Store().History();
+  if (newest && newest != seen_history_) {
+    if (seen_history_) {
+      context_.Post(fault_reported{"store.went_back",
+                                   "the store lost writes: its history is " +
+                                       std::to_string(*newest) + ", was " +
+                                       std::to_string(*seen_history_)});
     }
+    seen_history_ = newest;
   }
-  if (fence_ != 0 || claimed.Failed(error_kind::kConflict)) {
-    claim_duty_at_ = 0;
-  } else {
-    claim_duty_at_ = (BootTime() + kRetryPause).time_since_epoch().count();
-  }
-  if (fence_ != 0) {
-    PostDuty();
+  if (newest != LeaseHistory()) {
+    verify_requested_ = true;
+    // Their ids may be of leases of other instances now.
+    former_leases_.clear();
   }
 }
 
-void platform_membership::PostDuty() {
-  context_.Post(duty_seen{self_.id, fence_, lease_extended_at_ + lease_ttl_});
-}
-
 bool platform_membership::RunStep() {
   if (leaving_) {
     return false;
   }
+  NoteHistory();
   if (announced_ && verify_requested_.exchange(false) &&
       !VerifyAnnouncement()) {
     verify_requested_ = true;
@@ -209,8 +181,8 @@
   if (announced_ && !RevokeFormerLeases()) {
     return false;
   }
-  if (TimeUntilDutyClaim() == duration::zero()) {
-    ClaimDuty();
+  if (announced_) {
+    duty_.Step(lease_, lease_extended_at_);
   }
   if (lease_ == 0) {
     return AcquireLease();
@@ -220,13 +192,15 @@
 
 bool platform_membership::AcquireLease() {
   announced_ = false;
-  // The duty expired together with the previous lease.
-  fence_ = 0;
   const instant requested_at = BootTime();
+  // The duty expired together with the previous lease.
+  duty_.Lose(requested_at);
+  const kv::history_id history = context_.Store().History();
   const auto granted =
       Attempt([&] { return context_.Store().GrantLease(lease_ttl_); });
   context_.RecordCallResult(granted);
   if (granted) {
+    SetLeaseHistory(history);
     lease_ = *granted;
     OnLeaseExtended(requested_at);
   }
@@ -234,18 +208,24 @@
 }
 
 // Reads the key itself, because other evidence is not reliable. A lease that
-// can be renewed may belong to another instance: a store that restarted empty
-// may have granted the same lease number again. The follower's read may be
-// older than an announcement in flight.
+// can be renewed may belong to another instance: a store that went back to an
+// older copy may have granted the same lease number again. The follower's read
+// may be older than an announcement in flight.
 bool platform_membership::VerifyAnnouncement() {
+  const kv::history_id history = context_.Store().History();
   const auto entry = Attempt([&] {
     return context_.Store().Range(context_.Keys().Instance(self_.name), true);
   });
   context_.RecordCallResult(entry);
-  if (entry && entry->entries.empty()) {
+  if (!entry) {
+    return false;
+  }
+  if (entry->entries.empty() || entry->entries[0].lease != lease_) {
     OnLeaseLost(BootTime());
+    return true;
   }
-  return static_cast<bool>(entry);
+  SetLeaseHistory(history);
+  return true;
 }
 
 bool platform_membership::RevokeFormerLeases() {
@@ -386,10 +366,7 @@
 void platform_membership::OnLeaseLost(instant lost_at) {
   lease_ = 0;
   announced_ = false;
-  if (fence_ != 0) {
-    fence_ = 0;
-    context_.Post(duty_seen{self_.id, 0, lost_at});
-  }
+  duty_.Lose(lost_at);
 }
 
 bool platform_membership::RenewLease() {
@@ -397,6 +374,7 @@
   if (TimeUntilRenewal() > duration::zero()) {
     return true;
   }
+  const kv::history_id history = context_.Store().History();
   const auto renewed =
       Attempt([&] { return context_.Store().KeepAlive(lease_); });
   context_.RecordCallResult(renewed);
@@ -407,11 +385,12 @@
   if (!renewed) {
     return false;
   }
+  if (context_.Store().History() != history) {
+    return true;  // The announcement is checked first.
+  }
   OnLeaseExtended(requested_at);
   PostRenewal();
-  if (fence_ != 0) {
-    PostDuty();
-  }
+  duty_.OnLeaseRenewed(requested_at, history);
   // In a fleet with more members than seats most hold a seat above the limit
   // and have a share all the same; looking for a lower one would be in vain.
   const bool all_fit = context_.MemberCount() <= context_.SeatLimit();
--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -17,6 +17,7 @@
 #include "marjoramslip/coordination/worker.h"
 #include "marjoramslip/core/events.h"
 #include "platform_link_context.h"
+#include "promotion_duty.h"
 
 namespace marjoramslip::shell {
 
@@ -31,6 +32,10 @@
 /// promote is a key under the same lease; nobody can take it while the store is
 /// unavailable.
 ///
+/// After the store has gone back to an older copy, the lease counts only once
+/// the announcement was found under it: the store may have lost the lease and
+/// given its id to another instance.
+///
 /// While no more instances are listed than there are seats, a seat at or above
 /// the seat limit has no share of some service's connections. It is exchanged
 /// for a lower one as soon as one is free.
@@ -48,10 +53,9 @@
   /// Revokes the lease and acquires no further one.
   void Leave();
 
-  /// Reports the value of the duty's key; empty if nobody holds the duty to
-  /// promote. This instance claims a vacant duty after `delay`, unless another
-  /// was faster: `delay` grows with its place in the order of claimants.
-  void OnDutyChange(const std::optional<std::string>& holder, duration delay);
+  /// Where the keys of the duty to promote are reported. The delay of a claim
+  /// grows with the instance's place in the order of claimants.
+  promotion_duty& Duty() { return duty_; }
 
   /// Passes the entries read at the start, for the first announcement.
   void OnDirectoryRead(kv::range_result entries);
@@ -95,12 +99,10 @@
   /// Revokes the leases of earlier processes of this name. Returns false if
   /// one could not be revoked.
   bool RevokeFormerLeases();
-  /// Claims the duty to promote if nobody holds it.
-  void ClaimDuty();
-  /// Returns the time until the duty is to be claimed; empty if it is not.
-  std::optional<duration> TimeUntilDutyClaim() const;
-  /// Posts the time until which the duty is certainly held.
-  void PostDuty();
+  /// Requests a check of the announcement if the store's history has changed.
+  void NoteHistory();
+  kv::history_id LeaseHistory();
+  void SetLeaseHistory(const kv::history_id& history);
 
   platform_context& context_;
   member self_;
@@ -108,13 +110,15 @@
   bool platform_promotes_;
   std::atomic<std::uint64_t> lease_ = 0;
   std::atomic<bool> leaving_ = false;
-  /// When to claim the duty, in ticks of `instant`; 0 while it is held.
-  std::atomic<duration::rep> claim_duty_at_ = 0;
   /// The announcement may be missing from the store and must be checked.
   std::atomic<bool> verify_requested_ = false;
   std::mutex mutex_;
   std::optional<kv::range_result> initial_read_;  ///< Guarded by mutex_.
+  /// The history in which the lease was granted or the announcement was found
+  /// under it last. Guarded by mutex_.
+  kv::history_id lease_history_;
   // The members below are used on the worker's thread only.
+  kv::history_id seen_history_;
   bool announced_ = false;
   /// The instance was announced at least once since the process started.
   bool ever_announced_ = false;
@@ -133,8 +137,7 @@
   bool initial_read_pending_ = true;
   /// Leases of earlier processes of this name that must still be revoked.
   std::set<std::uint64_t> former_leases_;
-  /// The revision at which the duty was claimed; 0 if it is not held.
-  std::uint64_t fence_ = 0;
+  promotion_duty duty_;
   worker worker_;
 };
 
--- a/lib/core/apply_catalogue.cc
+++ b/lib/core/apply_catalogue.cc
@@ -32,7 +32,7 @@
   entry->terms.SetPeers(core.members.RecentPeers(core.now),
                         core.members_requested_at, core.members_known_since);
   entry->terms.SetServingUntil(core.lease.Until(core.members.Others()));
-  entry->terms.SetDuty(core.duty.fence, core.duty.held_until);
+  entry->terms.SetDuty(core.duty);
   return *entry;
 }
 
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -102,9 +102,8 @@
   /// Records that the membership lease of `member` was ended: it renews no
   /// serving lease from the store until it is listed again.
   void OnMembershipEnded(instance_id member, instant now);
-  /// Sets the fence with which this instance may request promotions from the
-  /// platform, or 0 if it doesn't hold the duty. The duty may lapse at `until`.
-  void SetDuty(std::uint64_t fence, instant until);
+  /// Sets the duty to request promotions from the platform.
+  void SetDuty(const duty_seen& duty);
   /// Records that `from` acts on no record older than `revision`.
   void OnRecordAck(instance_id from, std::uint64_t revision, instant now,
                    effect_list& effects);
@@ -338,6 +337,10 @@
   void FinishDraining(instant now, effect_list& effects);
 
   // Changes of primary by the platform's promotion (promotion.cc).
+  /// True while this instance surely holds the duty for the length of a
+  /// request.
+  bool HoldsDuty(instant now) const;
+  /// True if it may use the duty, too: no earlier holder does any more.
   bool MayDrive(instant now) const;
   void AdvancePromotion(instant now, effect_list& effects);
   void SendRecord(instant now, effect_list& effects);
@@ -476,8 +479,9 @@
   instant last_acknowledgement_at_{};
   std::map<instance_id, instant> memberships_ended_;
   instant next_membership_end_{};
-  std::uint64_t fence_ = 0;
+  std::uint64_t fence_ = 0;       ///< 0: the duty is not held.
   std::uint64_t last_fence_ = 0;  ///< The last that was not 0.
+  instant duty_usable_from_{};
   instant duty_until_{};
   std::map<endpoint_id, candidacy> candidacies_;
   /// The candidate of the record was given up; another one has to be chosen.
--- a/lib/core/peers.cc
+++ b/lib/core/peers.cc
@@ -189,7 +189,7 @@
   }
   core.duty = duty;
   for (const auto& [id, group] : core.groups) {
-    group->terms.SetDuty(duty.fence, duty.held_until);
+    group->terms.SetDuty(duty);
     core.MarkDirty(*group);
   }
 }
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -52,7 +52,8 @@
 
 }  // namespace
 
-void group_terms::SetDuty(std::uint64_t fence, instant until) {
+void group_terms::SetDuty(const duty_seen& duty) {
+  const std::uint64_t fence = duty.fence;
   const bool changing = step_ == step::kMoving || step_ == step::kPromoting;
   if (changing && !service_.term_bound && fence != 0 && fence != last_fence_) {
     // Another instance may have held the duty meanwhile.
@@ -60,14 +61,19 @@
   }
   last_fence_ = fence != 0 ? fence : last_fence_;
   fence_ = fence;
-  duty_until_ = until;
+  duty_usable_from_ = duty.usable_from;
+  duty_until_ = duty.held_until;
 }
 
-bool group_terms::MayDrive(instant now) const {
+bool group_terms::HoldsDuty(instant now) const {
   return service_.term_bound ||
          (fence_ != 0 && now + kDutyMargin < duty_until_);
 }
 
+bool group_terms::MayDrive(instant now) const {
+  return HoldsDuty(now) && (service_.term_bound || now >= duty_usable_from_);
+}
+
 void group_terms::OnRecordAck(instance_id from, std::uint64_t revision,
                               instant now, effect_list& effects) {
   std::uint64_t& acknowledged = acknowledged_[from];
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -368,7 +368,9 @@
 void group_terms::OnTick(instant now, effect_list& effects) {
   closed_time_.Observe(id_, Stage(now), now, effects);
   if (record_known_ && record_.revision == 0) {
-    if (step_ != step::kCreating && MayDrive(now)) {
+    // Only the first of several claims to create a record takes effect, so
+    // creation does not wait for earlier holders of the duty.
+    if (step_ != step::kCreating && HoldsDuty(now)) {
       if (step_since_ == instant{}) {
         step_since_ = now;
       }
--- a/lib/kv/http_channel.cc
+++ b/lib/kv/http_channel.cc
@@ -169,7 +169,7 @@
   session.Send(request);
   Poco::Net::HTTPResponse response;
   std::istream& in = session.receiveResponse(response);
-  http_reply reply{response.getStatus(), {}};
+  http_reply reply{response.getStatus(), {}, {}};
   std::array<char, kReadBufferBytes> buffer{};
   while (in) {
     if (RemainingUntil(end) <= duration::zero()) {
@@ -186,6 +186,7 @@
   if (in.bad()) {
     throw Poco::IOException("connection lost while receiving the answer");
   }
+  reply.headers.swap(response);
   return reply;
 }
 
--- a/lib/kv/memory_store.cc
+++ b/lib/kv/memory_store.cc
@@ -104,6 +104,14 @@
 
 }  // namespace
 
+struct memory_store::backup {
+  std::map<std::string, stored_entry, std::less<>> entries;
+  std::vector<change> log;
+  std::map<std::uint64_t, std::chrono::seconds> leases;
+  std::uint64_t revision = 0;
+  std::uint64_t last_lease = 0;
+};
+
 memory_store::memory_store() = default;
 memory_store::~memory_store() = default;
 
@@ -127,6 +135,7 @@
   const std::lock_guard lock(mutex_);
   range_result found;
   found.revision = revision_;
+  found.history = tells_history_ ? history_id(history_) : std::nullopt;
   for (auto at = entries_.lower_bound(prefix); at != entries_.end(); ++at) {
     const bool within =
         exact ? at->first == prefix : at->first.starts_with(prefix);
@@ -290,6 +299,37 @@
       std::make_unique<memory_handle>(std::move(watch)));
 }
 
+std::shared_ptr<const memory_store::backup> memory_store::Copy() const {
+  const std::lock_guard lock(mutex_);
+  return std::make_shared<backup>(
+      backup{entries_, log_, leases_, revision_, last_lease_});
+}
+
+void memory_store::GoBack(const backup& copy) {
+  const std::lock_guard lock(mutex_);
+  entries_ = copy.entries;
+  log_ = copy.log;
+  leases_ = copy.leases;
+  revision_ = copy.revision;
+  last_lease_ = copy.last_lease;
+  ++history_;
+  for (const auto& weak_watch : watches_) {
+    if (const auto watch = weak_watch.lock(); watch && tells_history_) {
+      watch->EnqueueReset();
+    }
+  }
+}
+
+void memory_store::TellHistory() {
+  const std::lock_guard lock(mutex_);
+  tells_history_ = true;
+}
+
+history_id memory_store::History() const {
+  const std::lock_guard lock(mutex_);
+  return tells_history_ ? history_id(history_) : std::nullopt;
+}
+
 void memory_store::SetDown(bool down) {
   const std::lock_guard lock(mutex_);
   down_ = down;
--- a/test/platform_cluster.py
+++ b/test/platform_cluster.py
@@ -84,6 +84,11 @@
         return json.loads(
             fetch(self.address, "/control/databases"))["promotion_calls"]
 
+    def promotion_duties(self):
+        """The holder and the fence of each promotion call, in order."""
+        return [(each["holder"], each["fence"]) for each in json.loads(
+            fetch(self.address, "/control/databases"))["promotion_duties"]]
+
     def repeated_answers(self):
         """How many answers the databases have sent twice."""
         return json.loads(
--- a/test/platform_drill.py
+++ b/test/platform_drill.py
@@ -76,6 +76,50 @@
     judge(cluster, verdicts)
 
 
+def holds_duty(instance):
+    """True if the duty was taken more often than it was lost."""
+    return instance.running() and len(instance.logged("duty.taken")) > len(
+        instance.logged("duty.lost"))
+
+
+def duty_claim_lost_by_a_drill(cluster):
+    """A claim of the duty that the store lost, under a lease that it kept,
+    makes no second promoter."""
+    wait_until("the duty is held", lambda: any(
+        map(holds_duty, cluster.instances)))
+    former = next(filter(holds_duty, cluster.instances))
+    os.kill(former.pid, signal.SIGTERM)
+    wait_until("another instance holds the duty", lambda: any(
+        holds_duty(each) for each in cluster.instances if each is not former))
+    wait_until("it is gone", lambda: not former.running())
+    time.sleep(0.5)
+    drill(cluster)
+    cluster.restart_instance(cluster.instances.index(former))
+    for _ in range(3):
+        time.sleep(SETTLE_S)
+        change_as_planned(cluster)
+    duties = cluster.platform.promotion_duties()
+    fences = [fence for _, fence in duties]
+    expect(len(set(duties)) == len(set(fences)),
+           f"two holders promoted with one fence: {duties}")
+    expect(fences == sorted(fences), f"a fence was lower than before: {duties}")
+
+
+def duty_claim_lost_without_eras(cluster):
+    """The same where the store does not tell that it went back."""
+    cluster.platform.order(tell_era=False)
+    duty_claim_lost_by_a_drill(cluster)
+
+
+def configuration_after_a_drill_without_eras(cluster):
+    """What operators write after a drill is followed within its bound, also
+    where the store does not tell that it went back."""
+    cluster.platform.order(tell_era=False)
+    time.sleep(SETTLE_S)
+    drill(cluster)
+    follows_configuration(cluster)
+
+
 def configuration_after_a_drill(cluster):
     """What operators write after a drill is followed within its bound."""
     time.sleep(SETTLE_S)
@@ -99,8 +143,9 @@
 
 
 SCENARIOS = (changes_without_a_drill, planned_change_after_a_drill,
-             change_lost_by_a_drill, configuration_after_a_drill,
-             start_after_a_drill)
+             change_lost_by_a_drill, duty_claim_lost_by_a_drill,
+             duty_claim_lost_without_eras, configuration_after_a_drill,
+             configuration_after_a_drill_without_eras, start_after_a_drill)
 
 
 class SettledCluster(PlatformCluster):
--- a/tools/standin/platform/platform_server.cc
+++ b/tools/standin/platform/platform_server.cc
@@ -30,6 +30,7 @@
   void Tick();
   /// Nothing: there is no answer.
   std::optional<store_answer> Promote(const json_object& body,
+                                      const std::string& holder,
                                       const std::string& fence);
   /// Faults and configurations on command.
   store_answer Control(const json_object& order);
@@ -138,11 +139,12 @@
 }
 
 std::optional<store_answer> platform_world::Promote(const json_object& body,
+                                                    const std::string& holder,
                                                     const std::string& fence) {
   const std::int64_t number = std::stoll(fence);
   const std::string id = TextMember(body, "id");
   line_server* const target = Find(id);
-  const promotion_fault fault = promotion_faults_.Take(id);
+  const promotion_fault fault = promotion_faults_.Take({id, holder, number});
   const bool stale = number < newest_fence_;
   newest_fence_ = std::max(newest_fence_, number);
   store_answer answer;
@@ -205,6 +207,9 @@
     store_.Drill(std::chrono::milliseconds(IntegerMember(drill, "age_ms")),
                  std::chrono::milliseconds(IntegerMember(drill, "away_ms")));
   }
+  if (order->has("tell_era")) {
+    store_.SetTellsEra(order->getValue<bool>("tell_era"));
+  }
   if (order->has("refuse_statements")) {
     answer_faults_.SetRefused(NumberMember(order, "refuse_statements", 0.0));
   }
@@ -240,12 +245,18 @@
     all->add(row);
   }
   Poco::JSON::Array::Ptr calls(new Poco::JSON::Array);
-  for (const std::string& id : promotion_faults_.Calls()) {
-    calls->add(id);
+  Poco::JSON::Array::Ptr duties(new Poco::JSON::Array);
+  for (const promotion_call& call : promotion_faults_.Calls()) {
+    calls->add(call.id);
+    json_object row(new Poco::JSON::Object);
+    row->set("holder", call.holder);
+    row->set("fence", call.fence);
+    duties->add(row);
   }
   store_answer answer;
   answer.body->set("databases", all);
   answer.body->set("promotion_calls", calls);
+  answer.body->set("promotion_duties", duties);
   answer.body->set("repeated_answers", answer_faults_.Repeats());
   return answer;
 }
@@ -293,6 +304,7 @@
     const std::string& path = request.getURI();
     if (path == "/promote") {
       return world_.Promote(ParseJsonObject(ReadBody(request)),
+                            request.get("X-Duty-Holder", ""),
                             request.get("X-Fence-Token", "0"));
     }
     if (path == "/control") {
--- a/tools/standin/platform/platform_store.cc
+++ b/tools/standin/platform/platform_store.cc
@@ -346,7 +346,9 @@
   if (era != store_.Era()) {
     return CloseUnanswered(request);
   }
-  response.set("Store-Era", std::to_string(era));
+  if (store_.TellsEra()) {
+    response.set("Store-Era", std::to_string(era));
+  }
   SendAnswer(response, answer);
 }
 
--- a/tools/standin/platform/platform_store.h
+++ b/tools/standin/platform/platform_store.h
@@ -69,6 +69,9 @@
   bool Away() const { return away_; }
   /// How often it has come back from a copy.
   std::uint64_t Era() const { return era_; }
+  /// Whether answers tell the era, as they do at first.
+  bool TellsEra() const { return tells_era_; }
+  void SetTellsEra(bool tells) { tells_era_ = tells; }
   /// True if calls of this kind change something.
   static bool Writes(const std::string& method, const std::string& uri);
 
@@ -101,6 +104,7 @@
   std::chrono::steady_clock::time_point back_at_;
   std::atomic<bool> away_ = false;
   std::atomic<std::uint64_t> era_ = 1;
+  std::atomic<bool> tells_era_ = true;
   call_budget writes_{kWritesPerSecond};
   call_budget reads_{kReadsPerSecond};
   std::atomic<bool> ending_ = false;
--- a/tools/standin/platform/promotion_faults.cc
+++ b/tools/standin/platform/promotion_faults.cc
@@ -27,10 +27,11 @@
   }
 }
 
-promotion_fault promotion_faults::Take(const std::string& id) {
+promotion_fault promotion_faults::Take(const promotion_call& call) {
+  const std::string& id = call.id;
   const steady_time now = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
-  calls_.push_back(id);
+  calls_.push_back(call);
   while (!faults_.empty() &&
          (faults_.front().left <= 0 || faults_.front().until <= now)) {
     faults_.pop_front();
@@ -49,7 +50,7 @@
   return present.fault;
 }
 
-std::vector<std::string> promotion_faults::Calls() const {
+std::vector<promotion_call> promotion_faults::Calls() const {
   const std::lock_guard lock(mutex_);
   return calls_;
 }
--- a/tools/standin/platform/promotion_faults.h
+++ b/tools/standin/platform/promotion_faults.h
@@ -24,6 +24,13 @@
   std::chrono::milliseconds answer_late{0};
 };
 
+/// A call that names the database to promote.
+struct promotion_call {
+  std::string id;
+  std::string holder;
+  std::int64_t fence = 0;
+};
+
 /// Faults on command, one after the other. Safe for use by several threads.
 class promotion_faults {
  public:
@@ -33,10 +40,10 @@
   /// without a fault by default, and befalls `count` calls, or those of the
   /// next `for_ms`; both unlimited by default.
   void Set(const std::vector<json_object>& faults);
-  /// What becomes of a call that names this database.
-  promotion_fault Take(const std::string& id);
-  /// The databases that calls have named, in order.
-  std::vector<std::string> Calls() const;
+  /// What becomes of a call.
+  promotion_fault Take(const promotion_call& call);
+  /// The calls, in order.
+  std::vector<promotion_call> Calls() const;
 
  private:
   struct entry {
@@ -49,7 +56,7 @@
 
   mutable std::mutex mutex_;
   std::deque<entry> faults_;
-  std::vector<std::string> calls_;
+  std::vector<promotion_call> calls_;
 };
 
 }  // namespace standin
--- a/unittests/coordination/hooked_store.h
+++ b/unittests/coordination/hooked_store.h
@@ -52,6 +52,8 @@
                         std::move(on_reset));
   }
 
+  kv::history_id History() const override { return store_.History(); }
+
   /// Returns false if the write is to be lost; it may then be made later.
   std::function<bool(const std::vector<kv::condition>&,
                      const std::vector<kv::mutation>&)>
--- a/unittests/kv/fake_gateway.h
+++ b/unittests/kv/fake_gateway.h
@@ -29,6 +29,7 @@
   bool chunked = false;  ///< Answers with a stream.
   duration delay{};      ///< Wait before the answer.
   duration stay_open{};  ///< Wait after the body of a stream.
+  std::string era = {};  ///< Value of the header Store-Era; empty: none.
 };
 
 /// Answers each request with the result of a function of its path and body.
@@ -110,6 +111,9 @@
     }
     response.setStatus(std::to_string(reply.status));
     response.setChunkedTransferEncoding(reply.chunked);
+    if (!reply.era.empty()) {
+      response.set("Store-Era", reply.era);
+    }
     if (!reply.chunked) {
       response.setContentLength(
           static_cast<std::streamsize>(reply.body.size()));
--- a/unittests/recording_loop.h
+++ b/unittests/recording_loop.h
@@ -60,6 +60,19 @@
     });
   }
 
+  /// Returns the events of a kind, in order.
+  template <typename kind>
+  std::vector<kind> All() {
+    const std::lock_guard lock(mutex_);
+    std::vector<kind> found;
+    for (const event& one : events_) {
+      if (const auto* const matching = std::get_if<kind>(&one)) {
+        found.push_back(*matching);
+      }
+    }
+    return found;
+  }
+
   void Forget() {
     const std::lock_guard lock(mutex_);
     events_.clear();
