Order configurations by the operator's version, with or without accounts

Cause: a catalogue's revision ordered the routes, too. Instances count revisions on by themselves, and a store that went back gives them out again, so a higher revision may come with older declarations. Only where accounts are in use did the declared version decide.

Change: the endpoints come from the higher revision, all else from the higher declared version, whichever revision has it.

--- a/include/marjoramslip/catalogue/supersede.h
+++ b/include/marjoramslip/catalogue/supersede.h
@@ -12,10 +12,10 @@
 /// Returns the catalogue in force once `update` has arrived after `in_force`;
 /// empty if that changes nothing.
 ///
-/// The higher revision is in force. Where accounts are in use, the routes and
-/// accounts of the higher declared version are, whichever revision has them:
-/// an instance that the store refuses counts revisions on with the declarations
-/// that it knows, and a key that was refused must not be accepted again.
+/// The endpoints of the higher revision are in force, and all else of the
+/// higher declared version, whichever revision has it. Instances count
+/// revisions on by themselves, and a store that goes back to an older copy
+/// gives them out again, so a higher revision may come with older declarations.
 std::optional<catalogue> Supersede(const catalogue& in_force,
                                    const catalogue& update);
 
--- a/lib/core/apply_catalogue.cc
+++ b/lib/core/apply_catalogue.cc
@@ -153,7 +153,7 @@
 }
 
 revision_update RevisionOf(const catalogue& value) {
-  return {value.revision, value.accounts_in_use ? value.declared_version : 0};
+  return {value.revision, value.declared_version};
 }
 
 bool DropIfUnused(core_state& core, group_state& group) {
