--- a/lib/coordination/platform_link_follower.cc
+++ b/lib/coordination/platform_link_follower.cc
@@ -67,6 +67,9 @@
   std::vector<kv::entry> groups;
   std::optional<kv::entry> duty_holder;
   std::optional<kv::entry> fence;
+  // What is read now is newer than all that was seen before, also where its
+  // revisions are lower because the store went back to an older copy.
+  group_revisions_.clear();
   members_.clear();
   for (kv::entry& entry : range.entries) {
     if (entry.key == keys.Duty()) {
--- a/lib/coordination/registry_source.cc
+++ b/lib/coordination/registry_source.cc
@@ -22,6 +22,7 @@
 /// An endpoint's newest known entry.
 struct endpoint_entry {
   registered_endpoint value;
+  /// The newest revision since all keys were read.
   std::uint64_t revision = 0;
   /// When the entry was found missing; empty while it exists.
   std::optional<instant> missing_since;
@@ -41,6 +42,12 @@
     // store each further read would add a noticeable delay.
     BOOST_LEAF_AUTO(range, store_.Range(decoder_.Prefix(), false));
     newest_revision_ = std::max(newest_revision_, range.revision);
+    // What is read now is newer than all that was seen before. Revisions order
+    // only what the watch delivers after this read: a store that went back to
+    // an older copy gives them out again.
+    for (auto& [key, endpoint] : endpoints_) {
+      endpoint.revision = 0;
+    }
     std::map<std::string, bool, std::less<>> present;
     for (const kv::entry& entry : range.entries) {
       present[entry.key] = true;
@@ -148,7 +155,7 @@
       // The entry is unusable, so the endpoint known under this key counts as
       // missing.
       RecordFault(entry, parsed.failure);
-      if (endpoint.revision == 0) {
+      if (endpoint.value.service.empty()) {
         endpoints_.erase(entry.key);
         return false;
       }
@@ -164,7 +171,7 @@
   /// Records a fault for an unusable entry, once for each of its revisions.
   void RecordFault(const kv::entry& entry, const error& failure) {
     std::uint64_t& fault_revision = fault_revisions_[entry.key];
-    if (entry.mod_revision > fault_revision) {
+    if (entry.mod_revision != fault_revision) {
       fault_revision = entry.mod_revision;
       faults_.push_back(
           {"registry.malformed", entry.key + ": " + failure.message});
@@ -189,7 +196,7 @@
 
   void BuildCatalogue(std::uint64_t revision) {
     catalogue next = DeclaredCatalogue(declarations_);
-    next.revision = std::max(revision, catalogue_.revision + 1);
+    next.revision = catalogue_.revision;
     for (const auto& [key, endpoint] : endpoints_) {
       const auto service = next.services.find(endpoint.value.service);
       if (service == next.services.end()) {
@@ -199,9 +206,12 @@
       spec.connections = declarations_.connections.at(service->first);
       service->second.groups[0].endpoints.push_back(std::move(spec));
     }
-    if (declarations_.version == 0) {
-      return;  // Without declarations there is no catalogue.
+    // Without declarations there is no catalogue, and an unchanged one keeps
+    // its revision, so that it is not passed on again.
+    if (declarations_.version == 0 || next == catalogue_) {
+      return;
     }
+    next.revision = std::max(revision, catalogue_.revision + 1);
     catalogue_ = std::move(next);
   }
 
--- a/unittests/coordination/registry_source_test.cc
+++ b/unittests/coordination/registry_source_test.cc
@@ -122,6 +122,49 @@
   }
 }
 
+// Guards against entries that are ignored because the store, after it went back
+// to an older copy, gave their revisions out again.
+Test(registry_source, follows_a_store_that_went_back) {
+  registry_fixture s;
+  s.Put("/declared", "1");
+  const auto copy = s.store.Copy();
+  s.Put("/endpoints/a", "host-a");
+  s.Put("/endpoints/b", "host-b");
+  s.Put("/endpoints/b", "");
+  REQUIRE(s.TryLoad());
+  REQUIRE(s.source->TakeFaults().size() == 1);
+  s.store.GoBack(*copy);
+  s.Put("/endpoints/a", "host-a2");
+  s.Put("/endpoints/b", "host-b2");
+  s.Put("/declared", "2");
+  const std::uint64_t before = s.source->Value().revision;
+  REQUIRE(s.TryLoad());
+  SECTION("what it holds now is in force, whatever its revisions") {
+    EXPECT((s.EndpointNames() == names{"a", "b"}));
+    EXPECT(s.source->Value().declared_version == 2);
+    EXPECT(s.source->Value().revision > before);
+    const auto& endpoints =
+        s.source->Value().services.at("store").groups.at(0).endpoints;
+    EXPECT(endpoints.at(0).host == "host-a2");
+    EXPECT(endpoints.at(1).host == "host-b2");
+  }
+  SECTION("changes after that read count") {
+    s.Put("/endpoints/a", "host-a3");
+    EXPECT(s.source->OnChange(s.ChangeOf("/endpoints/a")) ==
+           source_change::kChanged);
+  }
+  SECTION("an unchanged read makes no other catalogue") {
+    const std::uint64_t now = s.source->Value().revision;
+    REQUIRE(s.TryLoad());
+    EXPECT(s.source->Value().revision == now);
+  }
+  SECTION("older declarations do not come back") {
+    s.store.GoBack(*copy);
+    REQUIRE(s.TryLoad());
+    EXPECT(s.source->Value().declared_version == 2);
+  }
+}
+
 Test(registry_source, an_expiry_is_newer_than_catalogues_from_before_it) {
   registry_fixture s;
   s.Put("/declared", "1");
--- a/unittests/platform/store_test.cc
+++ b/unittests/platform/store_test.cc
@@ -172,6 +172,96 @@
   }
 }
 
+// Guards against a watch that goes on from a revision that the store has given
+// out again after it went back to an older copy, and misses what came between.
+Test(http_store, a_watch_ends_with_the_history_of_the_store) {
+  std::atomic<int> resets = 0;
+  std::atomic<int> deliveries = 0;
+  std::mutex mutex;
+  std::string era = "4";
+  std::string events;
+  fake_gateway gateway([&](const std::string& path, const std::string&) {
+    const std::lock_guard lock(mutex);
+    fake_reply reply{.body = R"({"items":[],"events":[)" + events +
+                             R"(],"storeRevision":9})"};
+    reply.era = era;
+    reply.delay = path.find("watch") == std::string::npos ? milliseconds(0)
+                                                          : milliseconds(20);
+    return reply;
+  });
+  const auto set = [&](const char* new_era, const char* new_events) {
+    const std::lock_guard lock(mutex);
+    era = new_era;
+    events = new_events;
+  };
+  const auto await_reset = [&](int count) {
+    for (int i = 0; i < 500 && resets < count; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return resets == count;
+  };
+  const auto store = MakeHttpStore(ParseAddress(gateway), kCallDeadline);
+  const auto read = [&] {
+    return Attempt([&] { return store->Range("", false); });
+  };
+  const auto start_watch = [&] {
+    return Attempt([&] {
+      return store->Watch(
+          "", 10, [&](const kv::change&) { ++deliveries; }, [&] { ++resets; });
+    });
+  };
+  REQUIRE(read()->history == kv::history_id(4));
+  auto watch = start_watch();
+  SECTION("it goes on while the history stays") {
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT(resets == 0);
+  }
+  SECTION("its own poll shows another history; its changes are not delivered") {
+    set("5", R"({"key":"a","rev":10,"value":"Yg=="})");
+    EXPECT(await_reset(1));
+    EXPECT(deliveries == 0);
+    EXPECT(store->History() == kv::history_id(5));
+  }
+  SECTION("a poll that waits is ended by any other call") {
+    REQUIRE(read());
+    watch = start_watch();
+    set("6", "");
+    REQUIRE(read());
+    EXPECT(await_reset(2));
+  }
+  SECTION("an answer of an earlier history that comes late is dropped") {
+    set("5", "");
+    EXPECT(read().Failed(error_kind::kUnavailable));
+    EXPECT(store->History() == kv::history_id(6));
+  }
+  SECTION("a store that does not tell is read again and again") {
+    set("", "");
+    REQUIRE(read());
+    EXPECT(!store->History().has_value());
+    watch = start_watch();
+    EXPECT(await_reset(3));
+  }
+}
+
+// Guards against a list that mixes two histories.
+Test(http_store, pages_of_two_histories_are_not_joined) {
+  std::atomic<int> pages = 0;
+  fake_gateway gateway([&](const std::string&, const std::string&) {
+    fake_reply reply{
+        .body = R"({"items":[{"key":"a","rev":1,"value":"Yg=="}],"hasMore":)" +
+                std::string(++pages == 1 ? "true" : "false") +
+                R"(,"storeRevision":9})"};
+    reply.era = pages == 1 ? "1" : "2";
+    return reply;
+  });
+  const auto store = MakeHttpStore(ParseAddress(gateway), kCallDeadline);
+  const auto read = [&] {
+    return Attempt([&] { return store->Range("", false); });
+  };
+  EXPECT(read().Failed(error_kind::kUnavailable));
+  EXPECT(static_cast<bool>(read()));
+}
+
 Test(promoter, each_answer_is_reported) {
   fake_gateway gateway([](const std::string&, const std::string& body) {
     if (body.find("db-good") != std::string::npos) {
