--- a/include/marjoramslip/catalogue/catalogue.h
+++ b/include/marjoramslip/catalogue/catalogue.h
@@ -88,6 +88,10 @@
   /// True if endpoints refuse statements of a term other than the one that the
   /// connection was opened for. If false, connections are kept across terms.
   bool term_bound = true;
+  /// Number of replicas that have received a commit before the primary answers
+  /// it, where `term_bound` is false. If it is not 0, no promotion loses an
+  /// acknowledged commit.
+  std::uint32_t acknowledging_replicas = 0;
 
   service_id Id() const { return IdOf<service_id>(name); }
   bool operator==(const service_spec&) const = default;
--- a/lib/core/group_terms.cc
+++ b/lib/core/group_terms.cc
@@ -43,6 +43,14 @@
     view.spec = spec;
     endpoints.emplace(spec.Id(), std::move(view));
   }
+  for (const auto& [id, view] : endpoints_) {
+    if (service_.acknowledging_replicas > 0 && !endpoints.contains(id)) {
+      NoteDeparture(view);
+    }
+  }
+  for (const auto& [id, view] : endpoints) {
+    departed_.erase(id);
+  }
   endpoints_ = std::move(endpoints);
 }
 
@@ -118,6 +126,7 @@
   if (!is_primary) {
     return;
   }
+  CoverDepartures(*view, sent_at);
   if (state.term == Term() && acts_as_primary) {
     samples_.Add(sent_at, {Term(), state.position});
     suspected_since_.reset();
@@ -149,6 +158,9 @@
                                   record_known_ && state.log_term == Term() &&
                                   view.state.term == Term() &&
                                   view.state.role == endpoint_role::kPrimary;
+  if (is_current_primary) {
+    CoverDepartures(view, sent_at);
+  }
   if (is_current_primary && state.position >= samples_.NewestPosition()) {
     samples_.Add(sent_at, state.Point());
   }
@@ -185,8 +197,12 @@
   record_known_ = true;
   record_read_requested_ = false;
   const term_number old_term = Term();
+  const term_number old_log_term = LogTerm();
   const bool was_open = Open();
   record_ = record;
+  if (LogTerm() != old_log_term) {
+    departed_.clear();
+  }
   record_changed_at_ = now;
   newer_term_since_.reset();
   // Another instance's write supersedes the step in progress here.
@@ -196,6 +212,7 @@
   if (Term() != old_term || Open()) {
     phase_since_ = now;
     phase_revision_ = record_.revision;
+    reports_since_.reset();
   }
   if (Term() != old_term) {
     ClearTermState();
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -272,6 +272,15 @@
     instant last_progress_at{};
   };
 
+  /// A replica that is not registered any more.
+  struct departure {
+    std::optional<instant> since;
+    /// The log up to this point holds every commit that only the departed one
+    /// may have received: it reported this end of its log while nobody served,
+    /// or the primary did after the departure.
+    std::optional<log_point> covered_by;
+  };
+
   /// What became of the requests to promote an endpoint, in one change.
   struct candidacy {
     /// The endpoint's identity, as in `unsettled_promotion`.
@@ -357,6 +366,28 @@
   /// Requests the list of instances if the last is older than the phase.
   void RequestMembers(instant now, effect_list& effects);
   void ChooseForPromotion(instant now, effect_list& effects);
+  /// Chooses the replica to promote where replicas acknowledge commits
+  /// (replica_choice.cc).
+  void ChooseAcknowledging(instant now, effect_list& effects);
+  /// Notes when no other instance served any more, and requests the states of
+  /// all databases from then on.
+  void StartReports(instant now);
+  /// True while a choice depends on the states of all replicas.
+  bool AwaitsReports() const {
+    return step_ == step::kMoving && reports_since_.has_value();
+  }
+  /// True if a complete state was read since the reports began.
+  bool HasReported(const endpoint_view& view) const;
+  /// Returns the databases that may have received commits alone, and have not
+  /// reported. A log up to `reached` covers departed ones.
+  std::vector<endpoint_id> UnreportedReplicas(log_point reached) const;
+  /// True if a candidate whose log reaches `point` has every acknowledged
+  /// commit.
+  bool HasAllAcknowledged(endpoint_id candidate, log_point point) const;
+  void LogAwaitedReports(log_point best, instant now, effect_list& effects);
+  void NoteDeparture(const endpoint_view& view);
+  void FollowDepartures(instant now);
+  void CoverDepartures(const endpoint_view& primary, instant sent_at);
   /// Returns the database that reports itself as the primary of the last open
   /// term, under whatever id; 0 if there is none, or if its log is incomplete.
   endpoint_id PresentPrimary() const;
@@ -488,6 +519,11 @@
   bool candidate_given_up_ = false;
   /// Since when each unsettled promotion has been known here.
   std::map<unsettled_promotion, instant> unsettled_since_;
+  /// Since when no other instance has served, in the present phase.
+  std::optional<instant> reports_since_;
+  instant next_reports_log_{};
+  /// Replicas of the present log's term that are not registered any more.
+  std::map<endpoint_id, departure> departed_;
   instant next_promotion_{};
   instant next_choice_{};
   /// When a planned change may be tried again.
--- a/lib/core/promotion.cc
+++ b/lib/core/promotion.cc
@@ -296,6 +296,10 @@
   if (!NoOtherServes(now) || !MayDrive(now) || now < next_choice_) {
     return;
   }
+  if (service_.acknowledging_replicas > 0) {
+    ChooseAcknowledging(now, effects);
+    return;
+  }
   const endpoint_id present = PresentPrimary();
   endpoint_id best;
   std::pair<bool, log_point> best_rank;
--- a/lib/core/suspicion.cc
+++ b/lib/core/suspicion.cc
@@ -24,6 +24,9 @@
 // is too busy to serve.
 constexpr duration kMinProbeBackoff = std::chrono::milliseconds(50);
 constexpr duration kMaxProbeBackoff = std::chrono::seconds(1);
+// Time for a database that is busy with reads to report its log where a change
+// of primary depends on it.
+constexpr duration kReportTimeout = std::chrono::seconds(1);
 // Replication counts as stalled if no lagging replica advances for this long.
 constexpr duration kReplicationStallTimeout = std::chrono::milliseconds(2000);
 
@@ -270,7 +273,7 @@
                             effect_list& effects) {
   probe_endpoint probe;
   probe.endpoint = view.spec.Id();
-  probe.timeout = options_.probe_timeout;
+  probe.timeout = AwaitsReports() ? kReportTimeout : options_.probe_timeout;
   probe.new_connection = view.new_connection_required;
   view.probe_sent_at = now;
   view.next_probe = now + options_.probe_interval;
--- a/lib/core/term_change.cc
+++ b/lib/core/term_change.cc
@@ -366,6 +366,7 @@
 }
 
 void group_terms::OnTick(instant now, effect_list& effects) {
+  FollowDepartures(now);
   closed_time_.Observe(id_, Stage(now), now, effects);
   if (record_known_ && record_.revision == 0) {
     // Only the first of several claims to create a record takes effect, so
--- a/lib/peer/catalogue_codec.cc
+++ b/lib/peer/catalogue_codec.cc
@@ -134,6 +134,7 @@
   out.set_lease(value.lease.count());
   out.set_seats(value.seats);
   out.set_statements_without_term(!value.term_bound);
+  out.set_acknowledging_replicas(value.acknowledging_replicas);
   for (const auto& [tenant, group] : value.pins) {
     (*out.mutable_pins())[tenant] = group;
   }
@@ -175,6 +176,7 @@
   // Releases without seats do not send the field; the default applies then.
   out.seats = in.seats() != 0 ? in.seats() : out.seats;
   out.term_bound = !in.statements_without_term();
+  out.acknowledging_replicas = in.acknowledging_replicas();
   for (const proto::GroupSpec& group : in.groups()) {
     BOOST_LEAF_AUTO(spec, Read(group));
     out.groups.push_back(std::move(spec));
--- a/unittests/peer/peer_codec_test.cc
+++ b/unittests/peer/peer_codec_test.cc
@@ -65,6 +65,8 @@
   out.sticky = RandomDuration();
   out.lease = RandomDuration();
   out.seats = *rc::gen::inRange<std::uint32_t>(1, 4097);
+  out.term_bound = *rc::gen::arbitrary<bool>();
+  out.acknowledging_replicas = *rc::gen::inRange<std::uint32_t>(0, 9);
   return out;
 }
 
--- a/unittests/platform/documents_test.cc
+++ b/unittests/platform/documents_test.cc
@@ -134,13 +134,18 @@
        "goalMs":150,"priority":1,"service":"huvo","attempts":2},
       {"name":"r-2","host":"fiti","type":"read_your_writes","timeoutMs":900,
        "service":"huvo","maxStalenessMs":2500}],
-      "services":[{"name":"huvo","maxConns":23,"protocol":"h1"}],
+      "services":[{"name":"huvo","maxConns":23,"protocol":"h1",
+                   "syncReplicas":1},{"name":"lone","maxConns":9}],
       "limits":{"txIdleMs":3000}})";
   const auto parsed = Attempt([&] { return decoder->ParseDeclarations(text); });
   REQUIRE(static_cast<bool>(parsed));
   EXPECT(parsed->version == 7);
   EXPECT(parsed->connections.at("huvo") == 23);
   EXPECT(!parsed->services.at("huvo").term_bound);
+  SECTION("promotions know how many replicas acknowledge a commit") {
+    EXPECT(parsed->services.at("huvo").acknowledging_replicas == 1);
+    EXPECT(parsed->services.at("lone").acknowledging_replicas == 0);
+  }
   SECTION("routes are keyed by the name that callers use") {
     const route_spec& route = parsed->routes.at("fiti");
     EXPECT(route.reads == consistency::kReadYourWrites);
