--- a/lib/runtime/log_writer.cc
+++ b/lib/runtime/log_writer.cc
@@ -1,13 +1,13 @@
-// Formats the lines here and leaves levels and output to log4cxx.
+// Formats the lines here and leaves the levels to log4cxx. Its appenders wait
+// for the reader of the output, or for a thread that does.
 
 #include "log_writer.h"
 
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/Timestamp.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
-#include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <sstream>
 #include <utility>
@@ -132,12 +132,8 @@
 log_writer::log_writer(const instance_settings& settings)
     : instance_(settings.name),
       format_(settings.logs),
-      logger_(log4cxx::Logger::getLogger(kLoggerName)) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  logger_->setAdditivity(false);
-  logger_->removeAllAppenders();
-  logger_->addAppender(
-      std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out"));
+      logger_(log4cxx::Logger::getLogger(kLoggerName)),
+      output_(STDOUT_FILENO) {
   logger_->setLevel(ThresholdOf(settings.log_level));
 }
 
@@ -151,12 +147,30 @@
   if (!logger_->isEnabledFor(level)) {
     return;
   }
+  if (output_.Write(Format(line, names, request))) {
+    ReportDropped();
+  }
+}
+
+std::string log_writer::Format(const log_line& line, const name_table& names,
+                               std::string_view request) const {
   const std::string time = TimeNow();
-  const std::string text =
-      format_ == log_format::kJson
-          ? FormatJsonLine(time, instance_, line, names, request)
-          : FormatTextLine(time, instance_, line, names, request);
-  logger_->forcedLog(level, text);
+  return format_ == log_format::kJson
+             ? FormatJsonLine(time, instance_, line, names, request)
+             : FormatTextLine(time, instance_, line, names, request);
+}
+
+void log_writer::ReportDropped() {
+  const std::uint64_t dropped = output_.TakeDropped();
+  if (dropped == 0) {
+    return;
+  }
+  log_line line;
+  line.level = log_level::kWarning;
+  line.event = "log.dropped";
+  line.text = std::to_string(dropped) +
+              " lines before the last one were dropped: nobody read the output";
+  output_.Write(Format(line, name_table(), {}));
 }
 
 void log_writer::Write(log_level level, std::string event, std::string text) {
--- a/lib/runtime/log_writer.h
+++ b/lib/runtime/log_writer.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "line_output.h"
 #include "marjoramslip/core/effects.h"
 #include "marjoramslip/settings/settings.h"
 #include "name_table.h"
@@ -26,7 +27,8 @@
                            const log_line& line, const name_table& names,
                            std::string_view request = {});
 
-/// Writes through log4cxx.
+/// Writes the lines that log4cxx's levels let through. Never waits for whoever
+/// reads them: lines are dropped instead, and counted by a line `log.dropped`.
 class log_writer {
  public:
   explicit log_writer(const instance_settings& settings);
@@ -40,10 +42,18 @@
   /// A line of the shell itself.
   void Write(log_level level, std::string event, std::string text);
 
+  /// Writes lines that were kept for the reader.
+  void Flush() { output_.Flush(); }
+
  private:
+  std::string Format(const log_line& line, const name_table& names,
+                     std::string_view request) const;
+  void ReportDropped();
+
   std::string instance_;
   log_format format_;
   log4cxx::LoggerPtr logger_;
+  line_output output_;
 };
 
 }  // namespace marjoramslip::shell
--- a/lib/runtime/settings_watch.cc
+++ b/lib/runtime/settings_watch.cc
@@ -41,6 +41,8 @@
   loop_.After(kLookInterval, [this, alive = std::weak_ptr<int>(lifetime_)] {
     if (!alive.expired()) {
       Reload("the file changed");
+      // Lines that were kept go out also if no further one is written.
+      log_.Flush();
       LookLater();
     }
   });
--- a/test/cluster_of_processes.py
+++ b/test/cluster_of_processes.py
@@ -113,6 +113,8 @@
                 stderr=log, text=True, start_new_session=True,
                 env={**os.environ, **(variables or {})})
         self._lines = []
+        self._reading = threading.Event()
+        self._reading.set()
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
 
@@ -141,6 +143,10 @@
         self._handle.kill()
         self._handle.wait(STOP_LIMIT_S)
 
+    def stop_reading(self):
+        """From now on nothing reads its standard output."""
+        self._reading.clear()
+
     def pause(self):
         self._handle.send_signal(signal.SIGSTOP)
 
@@ -164,6 +170,7 @@
     def _read(self):
         with self.log.open("a") as log:
             for line in self._handle.stdout:
+                self._reading.wait()
                 self._lines.append(line.rstrip("\n"))
                 log.write(line)
                 log.flush()
--- a/test/line_client.py
+++ b/test/line_client.py
@@ -26,12 +26,12 @@
         self._socket = socket.create_connection((host, int(port)), timeout)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._buffer = b""
-        self._send(f"STARTUP {name} {key}")
+        self.send(f"STARTUP {name} {key}")
         self._answer()
 
     def ask(self, text):
         """Sends a statement; its rows and DONE's field."""
-        self._send(f"QUERY {next(self._numbers):016x} {text}")
+        self.send(f"QUERY {next(self._numbers):016x} {text}")
         return self._answer()
 
     def read(self, item):
@@ -47,7 +47,8 @@
     def __exit__(self, *_):
         self.close()
 
-    def _send(self, line):
+    def send(self, line):
+        """Sends one line, and leaves its answer unread."""
         self._socket.sendall(line.encode() + b"\r\n")
 
     def _answer(self):
--- a/test/platform_path.py
+++ b/test/platform_path.py
@@ -17,7 +17,7 @@
 from cluster_of_processes import ClusterError, wait_until  # noqa: E402
 from line_client import Refused, Session  # noqa: E402
 from platform_cluster import (  # noqa: E402
-    BOUNDED, OWN_WRITES, PRIMARY, PlatformCluster, configuration, route,
+    BOUNDED, LEAVING_S, OWN_WRITES, PRIMARY, PlatformCluster, configuration, route,
     run_scenario)
 from scenarios import run_chosen  # noqa: E402
 
@@ -29,6 +29,8 @@
 LARGE_BYTES = 500_000
 ASKED_IN_VAIN = 200
 GROWTH_LIMIT_MB = 16
+# Lines about requests that callers left fill a pipe within some seconds.
+UNREAD_S = 12
 # Builds with the address sanitizer hold freed memory back; this bounds how much.
 SANITIZER_OPTIONS = "quarantine_size_mb=4"
 # Refusals after which nothing of the attempt is kept.
@@ -339,9 +341,29 @@
             expect(grown < GROWTH_LIMIT_MB, f"it grew by {grown:.0f} MB")
 
 
+def output_unread(cluster):
+    """An instance whose output nobody reads serves on, and ends in time."""
+    instance = cluster.instances[0]
+    instance.stop_reading()
+    began = time.monotonic()
+    number = 0
+    while time.monotonic() - began < UNREAD_S:
+        number += 1
+        with Session(instance.address, PRIMARY) as session:
+            # It leaves without the answer.
+            session.send(f"QUERY left-{number} READ left")
+        if number % 20 == 0:
+            expect(write(instance, number) == "accepted",
+                   f"it serves no more after {time.monotonic() - began:.1f} s")
+        time.sleep(0.01)
+    os.kill(instance.pid, signal.SIGTERM)
+    wait_until("it ends in time", lambda: not instance.running(), LEAVING_S)
+
+
 SCENARIOS = [sessions, session_state, transactions, primary_crashes,
              primary_dark, store_out, configuration_changes, primary_replaced,
-             shutdown, bad_input, odd_registry_entry, client_that_never_reads]
+             shutdown, bad_input, odd_registry_entry, client_that_never_reads,
+             output_unread]
 
 
 def run(scenario, build):
