Hold a claim whose answer was lost, and end interrupted polls at once

A claim of the duty whose answer was lost was read back and made again without a pause: while the store loses answers, one instance would have written without end.

An interrupted call is not tried again.

Measured: duty/a_claim_whose_answer_is_lost_is_held, new; and http_store/a_watch_ends_with_the_history_of_the_store now asks for the end of a waiting poll within 1 s.

--- a/include/marjoramslip/kv/http_channel.h
+++ b/include/marjoramslip/kv/http_channel.h
@@ -89,7 +89,8 @@
                           request_effect effect) {
     return Call({.path = path, .body = body}, effect);
   }
-  /// Aborts the calls in progress; they fail like calls whose connection broke.
+  /// Aborts the calls in progress; they fail like calls whose connection broke,
+  /// and are not tried again.
   void Interrupt();
 
  private:
@@ -114,6 +115,7 @@
   std::vector<http_address> addresses_;
   duration deadline_;
   std::atomic<std::size_t> preferred_ = 0;
+  std::atomic<std::uint64_t> interrupts_ = 0;
   std::mutex mutex_;
   std::vector<pooled_session> idle_sessions_;
   std::set<http_session*> active_sessions_;
--- a/lib/coordination/promotion_duty.cc
+++ b/lib/coordination/promotion_duty.cc
@@ -154,9 +154,16 @@
     Hold(fence, value, history, requested_at);
     return;
   }
-  if (claimed || claimed.Failed(error_kind::kUnknown) ||
-      claimed.Failed(error_kind::kConflict)) {
-    ReadKeys();
+  const bool readable = claimed || claimed.Failed(error_kind::kUnknown) ||
+                        claimed.Failed(error_kind::kConflict);
+  const instant read_at = BootTime();
+  if (readable && !ReadKeys()) {
+    return;
+  }
+  if (readable && found_value_ == value &&
+      context_.Store().History() == history) {
+    // Only the answer was lost.
+    Hold(fence, value, history, read_at);
     return;
   }
   ClaimAt(BootTime() + kRetryPause);
@@ -185,6 +192,7 @@
     return false;
   }
   expected_revision_ = holder ? holder->mod_revision : 0;
+  found_value_ = holder ? holder->value : "";
   ClaimAt(BootTime());
   return true;
 }
--- a/lib/coordination/promotion_duty.h
+++ b/lib/coordination/promotion_duty.h
@@ -111,6 +111,8 @@
   instant lease_extended_at_{};
   /// The revision at which the duty's key has to be for the next claim.
   std::uint64_t expected_revision_ = 0;
+  /// This instance's claim as it was read last; empty if there was none.
+  std::string found_value_;
   kv::history_id history_;
   instant history_since_{};
 };
--- a/lib/kv/http_channel.cc
+++ b/lib/kv/http_channel.cc
@@ -192,6 +192,7 @@
 
 void http_channel::Interrupt() {
   const std::lock_guard lock(mutex_);
+  ++interrupts_;
   for (http_session* const session : active_sessions_) {
     try {
       session->socket().shutdown();
@@ -211,10 +212,11 @@
                                       request_effect effect,
                                       duration deadline) {
   const auto end = clock::now() + deadline;
+  const std::uint64_t interrupts = interrupts_;
   std::string failure = "no address answered before the deadline";
   // One more attempt than addresses, for a pooled connection that was closed.
   for (std::size_t attempts = addresses_.size() + 1; attempts > 0; --attempts) {
-    if (RemainingUntil(end) <= duration::zero()) {
+    if (RemainingUntil(end) <= duration::zero() || interrupts_ != interrupts) {
       break;
     }
     std::size_t address = preferred_ % addresses_.size();
--- a/unittests/coordination/duty_test.cc
+++ b/unittests/coordination/duty_test.cc
@@ -145,6 +145,26 @@
          store.Range(keys.Fence(), true).value().entries.at(0).value);
 }
 
+// Guards against claims without end while answers are lost.
+Test(duty, a_claim_whose_answer_is_lost_is_held) {
+  for (const bool tells_history : {true, false}) {
+    duty_world world(tells_history);
+    world.hooked.on_write = [&world](const auto&, const auto& writes) {
+      if (writes[0].key == world.keys.Duty()) {
+        world.store.DropAnswers(1);
+      }
+      return true;
+    };
+    world.Start("i-1");
+    REQUIRE(world.AwaitClaims(1));
+    EXPECT(
+        std::to_string(world.Uses().back().fence) ==
+        world.store.Range(world.keys.Fence(), true).value().entries[0].value);
+    std::this_thread::sleep_for(kLease);
+    EXPECT(world.Uses().size() == 1);
+  }
+}
+
 // Guards against two holders of the duty: one that renews its lease after the
 // store has lost its claim, and one that finds the duty vacant.
 Test(duty, a_claim_that_the_store_lost_is_not_used) {
--- a/unittests/platform/store_test.cc
+++ b/unittests/platform/store_test.cc
@@ -177,6 +177,7 @@
 Test(http_store, a_watch_ends_with_the_history_of_the_store) {
   std::atomic<int> resets = 0;
   std::atomic<int> deliveries = 0;
+  std::atomic<milliseconds> poll_time = milliseconds(20);
   std::mutex mutex;
   std::string era = "4";
   std::string events;
@@ -186,7 +187,7 @@
                              R"(],"storeRevision":9})"};
     reply.era = era;
     reply.delay = path.find("watch") == std::string::npos ? milliseconds(0)
-                                                          : milliseconds(20);
+                                                          : poll_time.load();
     return reply;
   });
   const auto set = [&](const char* new_era, const char* new_events) {
@@ -224,10 +225,15 @@
   }
   SECTION("a poll that waits is ended by any other call") {
     REQUIRE(read());
+    poll_time = seconds(3);
     watch = start_watch();
+    std::this_thread::sleep_for(milliseconds(50));
     set("6", "");
+    const instant told_at = BootTime();
     REQUIRE(read());
     EXPECT(await_reset(2));
+    EXPECT(BootTime() - told_at < seconds(1));
+    poll_time = milliseconds(20);
   }
   SECTION("an answer of an earlier history that comes late is dropped") {
     set("5", "");
