--- a/lib/coordination/platform_link_members.h
+++ b/lib/coordination/platform_link_members.h
@@ -118,7 +118,7 @@
   /// under it last. Guarded by mutex_.
   kv::history_id lease_history_;
   // The members below are used on the worker's thread only.
-  kv::history_id seen_history_;
+  kv::history_id seen_history_;  ///< The newest that was logged.
   bool announced_ = false;
   /// The instance was announced at least once since the process started.
   bool ever_announced_ = false;
--- a/lib/core/group_terms.h
+++ b/lib/core/group_terms.h
@@ -385,8 +385,13 @@
   /// commit.
   bool HasAllAcknowledged(endpoint_id candidate, log_point point) const;
   void LogAwaitedReports(log_point best, instant now, effect_list& effects);
+  /// Keeps a replica that is not registered any more until its commits are
+  /// covered.
   void NoteDeparture(const endpoint_view& view);
+  /// Drops departed replicas whose commits another one has, and requests the
+  /// primary's position for the others.
   void FollowDepartures(instant now);
+  /// Handles a state of the primary that was requested at `sent_at`.
   void CoverDepartures(const endpoint_view& primary, instant sent_at);
   /// Returns the database that reports itself as the primary of the last open
   /// term, under whatever id; 0 if there is none, or if its log is incomplete.
